Settle the seam between the core and its surroundings

Events and actions of the two halves of a daemon (traffic and control), the messages on the wire, the configuration model, tokens and keys, and the scripts that build, test, format and lint.

Ruled out: protobuf types inside the core, which would tie decisions to a codec; one node for traffic and control, which would make every harness drive both.

--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Installs what is missing, builds, and runs every test: plain, then under the sanitizers.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/install-packages.sh
+
+run_suite() {
+    local preset="$1"
+    scripts/build.sh "$preset"
+    scripts/run-tests.sh "$preset"
+}
+
+run_suite release
+run_suite sanitize
--- /dev/null
+++ b/src/core/ids.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <ostream>
+#include <string>
+#include <string_view>
+
+namespace baobabtrail {
+
+/// \brief A number with a meaning: two ids of different kinds can't be mixed up.
+///
+/// \code
+/// ServiceId lending{7};
+/// if (lending == ServiceId{7}) { ... }
+/// \endcode
+template <typename Tag, typename Value = std::uint64_t>
+class StrongId
+{
+public:
+    constexpr StrongId() noexcept = default;
+    constexpr explicit StrongId(Value value) noexcept
+        : m_value(value)
+    {
+    }
+
+    [[nodiscard]] constexpr Value value() const noexcept { return m_value; }
+    [[nodiscard]] constexpr bool isNull() const noexcept { return m_value == Value{}; }
+
+    friend constexpr auto operator<=>(StrongId, StrongId) noexcept = default;
+
+    friend std::ostream &operator<<(std::ostream &out, StrongId id) { return out << id.m_value; }
+
+    friend std::size_t hash_value(StrongId id) noexcept { return std::hash<Value>{}(id.m_value); }
+
+private:
+    Value m_value{};
+};
+
+/// Hash of "tenant/service"; see serviceId().
+using ServiceId = StrongId<struct ServiceIdTag>;
+/// Hash of "tenant/service/target"; see targetId().
+using TargetId = StrongId<struct TargetIdTag>;
+/// The revision that declared a target; a target declared anew under its old name gets a new one.
+using Generation = StrongId<struct GenerationTag>;
+/// Position in the log of changes; 0 is the empty configuration.
+using Revision = StrongId<struct RevisionTag>;
+/// Chosen by the settings of the VM; unique among the daemons alive.
+using DaemonId = StrongId<struct DaemonIdTag>;
+/// Drawn at each start of a daemon, larger at each start of the same VM's daemon.
+using Incarnation = StrongId<struct IncarnationTag>;
+/// Chosen at random by the caller.
+using FlowId = StrongId<struct FlowIdTag>;
+/// Number of a cluster key; the keys themselves are derived from the cluster secret.
+using KeyEpoch = StrongId<struct KeyEpochTag, std::uint32_t>;
+
+/// \brief Names a request; chosen at random by the caller, 128 bits so that no two collide.
+struct RequestId
+{
+    std::uint64_t high = 0;
+    std::uint64_t low = 0;
+
+    friend constexpr auto operator<=>(const RequestId &, const RequestId &) noexcept = default;
+    friend std::size_t hash_value(const RequestId &id) noexcept
+    {
+        return std::hash<std::uint64_t>{}(id.high * 0x9E3779B97F4A7C15ULL ^ id.low);
+    }
+};
+
+std::ostream &operator<<(std::ostream &out, const RequestId &id);
+
+/// \brief Id of a service, the same on every daemon without any agreement.
+/// \param tenant Name of the tenant.
+/// \param service Name of the service within the tenant.
+/// \return The 64-bit hash of "tenant/service".
+[[nodiscard]] ServiceId serviceId(std::string_view tenant, std::string_view service);
+
+/// \brief Id of a target, the same on every daemon without any agreement.
+/// \param service Id of the service the target was declared for.
+/// \param target Name of the target within the service.
+/// \return The 64-bit hash of both.
+[[nodiscard]] TargetId targetId(ServiceId service, std::string_view target);
+
+} // namespace baobabtrail
+
+template <typename Tag, typename Value>
+struct std::hash<baobabtrail::StrongId<Tag, Value>>
+{
+    std::size_t operator()(baobabtrail::StrongId<Tag, Value> id) const noexcept
+    {
+        return hash_value(id);
+    }
+};
+
+template <>
+struct std::hash<baobabtrail::RequestId>
+{
+    std::size_t operator()(const baobabtrail::RequestId &id) const noexcept
+    {
+        return hash_value(id);
+    }
+};
--- /dev/null
+++ b/src/platform/client.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "core/messages/platform.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace baobabtrail {
+
+struct PlatformClientSettings
+{
+    Endpoint platform;
+    Duration timeout = 3s; ///< For every call but a watch, which has its own wait on top.
+};
+
+/// \brief Calls the platform's object store and VM list over HTTP. Never throws for what the
+/// platform does: every call ends in a result.
+///
+/// | call | HTTP |
+/// |---|---|
+/// | CreateObject | PUT /v1/objects/KEY, If-None-Match: * → 201 with ETag, 412 |
+/// | UpdateObject | PUT /v1/objects/KEY, If-Match: "VERSION" → 200 with ETag, 412 |
+/// | ReadObject | GET /v1/objects/KEY → 200 with ETag, 404 |
+/// | DeleteObject | DELETE /v1/objects/KEY → 204, 404 |
+/// | ListObjects | GET /v1/objects?prefix=P&after=K&limit=N → 200, JSON |
+/// | WatchObjects | GET /v1/watch?prefix=P&after=VERSION&wait=MILLISECONDS → 200, JSON |
+/// | ListVms | GET /v1/vms → 200, JSON |
+///
+/// 429 and 503 may carry Retry-After in seconds.
+class PlatformClient
+{
+public:
+    using Handler = std::function<void(PlatformResult)>;
+
+    PlatformClient(boost::asio::io_context &context, PlatformClientSettings settings);
+    ~PlatformClient();
+    PlatformClient(const PlatformClient &) = delete;
+    PlatformClient &operator=(const PlatformClient &) = delete;
+
+    /// \param done Called once, from the io_context, never from within call().
+    void call(const PlatformRequest &request, Handler done);
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace baobabtrail
