Let a queue entry hold a place before its data has come

A reservation takes a place in the queue, but only a request whose data is there can start. Popped anyway, it would hold a free slot for the caller's round trip; set aside by the user of the queue, it would no longer count against the capacity. So the queue knows which entries are ready: entries are ready by default, pop() passes over the others, setReady() says that the data has come.

--- a/src/core/limits/admission_queue.h
+++ b/src/core/limits/admission_queue.h
@@ -20,6 +20,7 @@
     std::string tenant;
     TimePoint deadline;
     TimePoint since;
+    bool ready = true; ///< False while it only holds a place: its data has not come yet.
 };
 
 /// \brief The queue did not take a request.
@@ -53,7 +54,11 @@
     [[nodiscard]] std::optional<QueueRefusal> push(const QueueEntry &entry, TimePoint now,
                                                    Random &random,
                                                    std::optional<QueueEntry> &displaced);
-    /// \return The next entry to start, or nothing. Entries past their deadline go to \a expired.
+    /// \brief The data of a request that held a place has come: it may start.
+    /// \return Whether it was there.
+    bool setReady(const RequestId &request);
+    /// \return The next ready entry to start, or nothing. Entries past their deadline go to \a
+    /// expired.
     [[nodiscard]] std::optional<QueueEntry> pop(TimePoint now, std::vector<QueueEntry> &expired);
     /// \return Whether it was there.
     bool remove(const RequestId &request);
