Add the target table and the admission queue

First working version: evidence per owned target with ejection, probes and slow start, a concurrency limit, loads heard from other owners that fade into the mean, choice among two for requests and by rendezvous for flows, spill-over with hysteresis, reopening budgets; a queue with class priority, shares per tenant, refusal of what can't start in time. Not measured yet.

--- /dev/null
+++ b/src/core/limits/admission_queue.cpp
@@ -0,0 +1,162 @@
+#include "core/limits/admission_queue.h"
+
+#include "core/limits/impl/queue_lanes.h"
+
+#include <boost/random/uniform_real_distribution.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace baobabtrail {
+
+namespace {
+
+constexpr double PaceGain = 0.1;
+constexpr Duration ShortestComeBack = 10ms;
+constexpr Duration LongestComeBack = 5s;
+constexpr double RefusalsFadeSeconds = 1.0;
+
+} // namespace
+
+class AdmissionQueue::Impl
+{
+public:
+    explicit Impl(std::size_t wanted)
+        : capacity(wanted)
+    {
+    }
+
+    [[nodiscard]] Duration foreseenWait(std::size_t ahead) const noexcept;
+    [[nodiscard]] std::optional<QueueRefusal> tooLate(const QueueEntry &entry, TimePoint now) const;
+    [[nodiscard]] bool makeRoom(const QueueEntry &entry, std::optional<QueueEntry> &displaced);
+    [[nodiscard]] QueueRefusal refuse(RefusalCause cause, TimePoint now, Random &random);
+    [[nodiscard]] Duration comeBackAfter(Random &random) const;
+
+    std::size_t capacity;
+    impl::QueueLanes lanes;
+    double ran = 0; ///< Mean time of an attempt in microseconds; 0 before the first.
+    double slots = 1;
+    double refusals = 0; ///< Of the last second, fading.
+    TimePoint refusalsAt{};
+};
+
+Duration AdmissionQueue::Impl::foreseenWait(std::size_t ahead) const noexcept
+{
+    return Duration{static_cast<Duration::rep>(ran / slots * static_cast<double>(ahead + 1))};
+}
+
+std::optional<QueueRefusal> AdmissionQueue::Impl::tooLate(const QueueEntry &entry,
+                                                          TimePoint now) const
+{
+    // Taken in, such a request would hold a place until its deadline and then fail: its caller
+    // waits for nothing and another one is refused for it.
+    const std::size_t ahead = lanes.ahead(entry);
+    if (now + (ahead > 0 ? foreseenWait(ahead) : Duration{0}) < entry.deadline)
+        return std::nullopt;
+    return QueueRefusal{RefusalCause::DeadlinePassed, Duration{0}};
+}
+
+bool AdmissionQueue::Impl::makeRoom(const QueueEntry &entry, std::optional<QueueEntry> &displaced)
+{
+    if (lanes.size() < capacity)
+        return true;
+    displaced = lanes.takeNewestOfLesserClass(entry.requestClass);
+    // A tenant that floods fills every place; one that keeps below its share takes its place back.
+    if (!displaced)
+        displaced = lanes.takeNewestOfGreedier(entry, capacity);
+    return displaced.has_value();
+}
+
+QueueRefusal AdmissionQueue::Impl::refuse(RefusalCause cause, TimePoint now, Random &random)
+{
+    const double passed = std::chrono::duration<double>(now - refusalsAt).count();
+    refusals = refusals * std::exp(-passed / RefusalsFadeSeconds) + 1.0;
+    refusalsAt = now;
+    return {cause, comeBackAfter(random)};
+}
+
+Duration AdmissionQueue::Impl::comeBackAfter(Random &random) const
+{
+    // The refused come back over the time that serving all of them would take; a fixed wait would
+    // bring the whole crowd back at one instant, to be refused again.
+    const double perEntry = ran / slots;
+    const double drain = perEntry * static_cast<double>(lanes.size());
+    const double shortest = std::max(drain, static_cast<double>(ShortestComeBack.count()));
+    const double longest = 2 * shortest + perEntry * refusals;
+    boost::random::uniform_real_distribution<double> spread{shortest, longest};
+    const Duration wait{static_cast<Duration::rep>(spread(random))};
+    return std::min(wait, LongestComeBack);
+}
+
+AdmissionQueue::AdmissionQueue(std::size_t capacity)
+    : m_impl(std::make_unique<Impl>(capacity))
+{
+}
+
+AdmissionQueue::~AdmissionQueue() = default;
+AdmissionQueue::AdmissionQueue(AdmissionQueue &&) noexcept = default;
+AdmissionQueue &AdmissionQueue::operator=(AdmissionQueue &&) noexcept = default;
+
+void AdmissionQueue::setCapacity(std::size_t capacity) noexcept
+{
+    m_impl->capacity = capacity;
+}
+
+void AdmissionQueue::setTenantWeight(const std::string &tenant, std::uint32_t weight)
+{
+    m_impl->lanes.setWeight(tenant, weight);
+}
+
+std::optional<QueueRefusal> AdmissionQueue::push(const QueueEntry &entry, TimePoint now,
+                                                 Random &random,
+                                                 std::optional<QueueEntry> &displaced)
+{
+    displaced.reset();
+    if (std::optional<QueueRefusal> late = m_impl->tooLate(entry, now)) {
+        if (entry.deadline > now)
+            late = m_impl->refuse(RefusalCause::DeadlinePassed, now, random);
+        return late;
+    }
+    if (!m_impl->makeRoom(entry, displaced)) {
+        const bool greedy = m_impl->lanes.aboveShare(entry.tenant, m_impl->capacity);
+        return m_impl->refuse(greedy ? RefusalCause::TenantLimit : RefusalCause::Overload, now,
+                              random);
+    }
+    m_impl->lanes.add(entry);
+    return std::nullopt;
+}
+
+bool AdmissionQueue::setReady(const RequestId &request)
+{
+    return m_impl->lanes.setReady(request);
+}
+
+std::optional<QueueEntry> AdmissionQueue::pop(TimePoint now, std::vector<QueueEntry> &expired)
+{
+    m_impl->lanes.takeExpired(now, expired);
+    return m_impl->lanes.takeNext();
+}
+
+bool AdmissionQueue::remove(const RequestId &request)
+{
+    return m_impl->lanes.remove(request);
+}
+
+void AdmissionQueue::slotFreed(Duration ran, std::uint32_t slots, TimePoint) noexcept
+{
+    const auto sample = static_cast<double>(ran.count());
+    m_impl->ran += (m_impl->ran == 0 ? 1.0 : PaceGain) * (sample - m_impl->ran);
+    m_impl->slots = std::max(slots, 1U);
+}
+
+std::size_t AdmissionQueue::size() const noexcept
+{
+    return m_impl->lanes.size();
+}
+
+Duration AdmissionQueue::comeBackAfter(Random &random) const
+{
+    return m_impl->comeBackAfter(random);
+}
+
+} // namespace baobabtrail
--- /dev/null
+++ b/src/core/limits/impl/queue_lanes.cpp
@@ -0,0 +1,192 @@
+#include "core/limits/impl/queue_lanes.h"
+
+#include <algorithm>
+
+namespace baobabtrail::impl {
+
+namespace {
+
+constexpr double OrdinaryWeight = 100;
+
+[[nodiscard]] std::size_t laneOf(RequestClass requestClass) noexcept
+{
+    return std::min<std::size_t>(static_cast<std::size_t>(requestClass), RequestClassCount - 1);
+}
+
+} // namespace
+
+QueueLanes::Tenant &QueueLanes::tenantOf(const std::string &name)
+{
+    return m_tenants[name];
+}
+
+void QueueLanes::setWeight(const std::string &tenant, std::uint32_t weight)
+{
+    tenantOf(tenant).weight = std::max(weight, 1U);
+}
+
+QueueLanes::Entries &QueueLanes::entriesOf(const Place &place) noexcept
+{
+    return place.ready ? place.tenant->ready[place.lane] : place.tenant->reserved[place.lane];
+}
+
+void QueueLanes::add(const QueueEntry &entry)
+{
+    if (m_byRequest.contains(entry.request))
+        return;
+    Tenant &tenant = tenantOf(entry.tenant);
+    // A tenant that was away starts level with the others: time that it did not use gives it no
+    // claim to run alone now.
+    if (tenant.held == 0)
+        tenant.virtualTime = std::max(tenant.virtualTime, m_virtualTime);
+    const Place place{&tenant, laneOf(entry.requestClass), m_next++, entry.ready};
+    entriesOf(place).emplace(place.sequence, entry);
+    m_byRequest.emplace(entry.request, place);
+    m_byDeadline.emplace(entry.deadline, entry.request);
+    ++tenant.held;
+    ++m_perClass[place.lane];
+}
+
+bool QueueLanes::setReady(const RequestId &request)
+{
+    const auto found = m_byRequest.find(request);
+    if (found == m_byRequest.end())
+        return false;
+    Place &place = found->second;
+    if (place.ready)
+        return true;
+    auto node = entriesOf(place).extract(place.sequence);
+    place.ready = true;
+    node.mapped().ready = true;
+    entriesOf(place).insert(std::move(node));
+    return true;
+}
+
+QueueEntry QueueLanes::take(const RequestId &request)
+{
+    const auto found = m_byRequest.find(request);
+    const Place place = found->second;
+    auto node = entriesOf(place).extract(place.sequence);
+    m_byRequest.erase(found);
+    m_byDeadline.erase({node.mapped().deadline, request});
+    --place.tenant->held;
+    --m_perClass[place.lane];
+    return std::move(node.mapped());
+}
+
+bool QueueLanes::remove(const RequestId &request)
+{
+    if (!m_byRequest.contains(request))
+        return false;
+    (void)take(request);
+    return true;
+}
+
+std::optional<QueueEntry> QueueLanes::takeNext()
+{
+    for (std::size_t lane = 0; lane < RequestClassCount; ++lane) {
+        if (m_perClass[lane] == 0)
+            continue;
+        Tenant *next = nullptr;
+        for (auto &[name, tenant] : m_tenants) {
+            if (tenant.ready[lane].empty())
+                continue;
+            if (!next || tenant.virtualTime < next->virtualTime)
+                next = &tenant;
+        }
+        if (!next)
+            continue;
+        m_virtualTime = std::max(m_virtualTime, next->virtualTime);
+        next->virtualTime += OrdinaryWeight / next->weight;
+        return take(next->ready[lane].begin()->second.request);
+    }
+    return std::nullopt;
+}
+
+void QueueLanes::takeExpired(TimePoint now, std::vector<QueueEntry> &expired)
+{
+    while (!m_byDeadline.empty() && m_byDeadline.begin()->first <= now)
+        expired.push_back(take(RequestId{m_byDeadline.begin()->second}));
+}
+
+std::optional<QueueEntry> QueueLanes::takeNewest(std::size_t lane, Tenant *only)
+{
+    const QueueEntry *newest = nullptr;
+    Sequence newestSequence = 0;
+    for (auto &[name, tenant] : m_tenants) {
+        if (only && only != &tenant)
+            continue;
+        for (const Entries *entries : {&tenant.ready[lane], &tenant.reserved[lane]}) {
+            if (entries->empty())
+                continue;
+            const auto &[sequence, entry] = *entries->rbegin();
+            if (newest && sequence <= newestSequence)
+                continue;
+            newest = &entry;
+            newestSequence = sequence;
+        }
+    }
+    if (!newest)
+        return std::nullopt;
+    return take(RequestId{newest->request});
+}
+
+std::optional<QueueEntry> QueueLanes::takeNewestOfLesserClass(RequestClass than)
+{
+    for (std::size_t lane = RequestClassCount - 1; lane > laneOf(than); --lane) {
+        if (m_perClass[lane] > 0)
+            return takeNewest(lane, nullptr);
+    }
+    return std::nullopt;
+}
+
+double QueueLanes::shareOf(const Tenant &tenant, bool present, std::size_t capacity) const noexcept
+{
+    double weights = present ? 0 : tenant.weight;
+    for (const auto &[name, other] : m_tenants) {
+        if (other.held > 0)
+            weights += other.weight;
+    }
+    return static_cast<double>(capacity) * tenant.weight / std::max(weights, 1.0);
+}
+
+std::optional<QueueEntry> QueueLanes::takeNewestOfGreedier(const QueueEntry &arrival,
+                                                           std::size_t capacity)
+{
+    const Tenant &mine = tenantOf(arrival.tenant);
+    const double share = shareOf(mine, mine.held > 0, capacity);
+    if (static_cast<double>(mine.held) + 1 > share)
+        return std::nullopt;
+    const std::size_t lane = laneOf(arrival.requestClass);
+    Tenant *greediest = nullptr;
+    double most = 1.0;
+    for (auto &[name, tenant] : m_tenants) {
+        const double used = static_cast<double>(tenant.held) / shareOf(tenant, true, capacity);
+        const bool inLane = !tenant.ready[lane].empty() || !tenant.reserved[lane].empty();
+        if (!inLane || used <= most)
+            continue;
+        most = used;
+        greediest = &tenant;
+    }
+    if (!greediest)
+        return std::nullopt;
+    return takeNewest(lane, greediest);
+}
+
+std::size_t QueueLanes::ahead(const QueueEntry &arrival) const noexcept
+{
+    std::size_t count = 0;
+    for (std::size_t lane = 0; lane <= laneOf(arrival.requestClass); ++lane)
+        count += m_perClass[lane];
+    return count;
+}
+
+bool QueueLanes::aboveShare(const std::string &tenant, std::size_t capacity) const
+{
+    const auto found = m_tenants.find(tenant);
+    if (found == m_tenants.end() || found->second.held == size())
+        return false;
+    return static_cast<double>(found->second.held) + 1 > shareOf(found->second, true, capacity);
+}
+
+} // namespace baobabtrail::impl
--- /dev/null
+++ b/src/core/limits/impl/queue_lanes.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "core/limits/admission_queue.h"
+
+#include <boost/unordered/unordered_flat_map.hpp>
+
+#include <array>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace baobabtrail::impl {
+
+/// \brief The entries of an AdmissionQueue: by class, then tenant, then arrival.
+///
+/// Tenants take turns by virtual time: each start moves a tenant's on by the inverse of its weight,
+/// and the tenant that is furthest behind starts next.
+class QueueLanes
+{
+public:
+    void setWeight(const std::string &tenant, std::uint32_t weight);
+
+    void add(const QueueEntry &entry);
+    /// \return Whether it was there.
+    bool setReady(const RequestId &request);
+    bool remove(const RequestId &request);
+    [[nodiscard]] std::optional<QueueEntry> takeNext();
+    void takeExpired(TimePoint now, std::vector<QueueEntry> &expired);
+    [[nodiscard]] std::optional<QueueEntry> takeNewestOfLesserClass(RequestClass than);
+    /// \brief Takes the newest entry, of the arrival's class or a lesser one, of the tenant that is
+    /// furthest above its share, where the arrival's tenant is below its own.
+    [[nodiscard]] std::optional<QueueEntry> takeNewestOfGreedier(const QueueEntry &arrival,
+                                                                 std::size_t capacity);
+
+    [[nodiscard]] std::size_t size() const noexcept { return m_byRequest.size(); }
+    /// \return Entries that start before \a arrival would.
+    [[nodiscard]] std::size_t ahead(const QueueEntry &arrival) const noexcept;
+    /// \return Whether others wait too and the tenant holds at least its share of the places.
+    [[nodiscard]] bool aboveShare(const std::string &tenant, std::size_t capacity) const;
+
+private:
+    using Sequence = std::uint64_t;
+    using Entries = std::map<Sequence, QueueEntry>;
+
+    struct Tenant
+    {
+        double weight = 100;
+        double virtualTime = 0;
+        std::size_t held = 0;
+        std::array<Entries, RequestClassCount> ready;
+        std::array<Entries, RequestClassCount> reserved;
+    };
+    struct Place
+    {
+        Tenant *tenant = nullptr;
+        std::size_t lane = 0;
+        Sequence sequence = 0;
+        bool ready = false;
+    };
+
+    [[nodiscard]] Tenant &tenantOf(const std::string &name);
+    [[nodiscard]] QueueEntry take(const RequestId &request);
+    [[nodiscard]] std::optional<QueueEntry> takeNewest(std::size_t lane, Tenant *only);
+    [[nodiscard]] double shareOf(const Tenant &tenant, bool present,
+                                 std::size_t capacity) const noexcept;
+    [[nodiscard]] static Entries &entriesOf(const Place &place) noexcept;
+
+    std::map<std::string, Tenant> m_tenants;
+    boost::unordered_flat_map<RequestId, Place> m_byRequest;
+    std::set<std::pair<TimePoint, RequestId>> m_byDeadline;
+    std::array<std::size_t, RequestClassCount> m_perClass{};
+    Sequence m_next = 0;
+    double m_virtualTime = 0; ///< Of the tenant that started last.
+};
+
+} // namespace baobabtrail::impl
--- /dev/null
+++ b/src/core/targets/impl/configure.cpp
@@ -0,0 +1,131 @@
+#include "core/targets/impl/table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace baobabtrail {
+
+namespace {
+
+[[nodiscard]] bool sameMachine(const TargetConfig &a, const TargetConfig &b) noexcept
+{
+    return a.generation == b.generation && a.flows == b.flows && a.requests == b.requests;
+}
+
+[[nodiscard]] std::vector<Member> reachable(const std::vector<Member> &members)
+{
+    std::vector<Member> result;
+    for (const Member &member : members) {
+        if (member.state == MemberState::Alive)
+            result.push_back(member);
+    }
+    return result;
+}
+
+} // namespace
+
+void TargetTable::Impl::configure(ConfigPtr newConfig, ViewPtr newView, TimePoint now)
+{
+    const bool first = records.empty();
+    config = std::move(newConfig);
+    view = std::move(newView);
+    remoteMembers.clear();
+    for (const auto &[domain, members] : view->remote)
+        remoteMembers[domain] = reachable(members);
+
+    auto before = std::exchange(records, {});
+    auto groupsBefore = std::exchange(groups, {});
+    for (const auto &[serviceId, service] : config->services) {
+        Group &holder = groups[serviceId];
+        if (const auto kept = groupsBefore.find(serviceId); kept != groupsBefore.end())
+            holder.keepLearnt(kept->second);
+        for (const auto &[id, target] : service.targets) {
+            const auto kept = before.find(id);
+            auto old = kept == before.end() ? nullptr : std::move(kept->second);
+            records[id] = keepOrMake(std::move(old), target, serviceId, first);
+            addToGroup(holder, *records[id]);
+        }
+        refreshDoubt(holder, now);
+    }
+}
+
+std::unique_ptr<impl::TargetRecord> TargetTable::Impl::keepOrMake(std::unique_ptr<Record> old,
+                                                                  const TargetConfig &target,
+                                                                  ServiceId service,
+                                                                  bool first) const
+{
+    // Under an old name a new generation is another machine: nothing learnt of the old one holds.
+    if (!old || !sameMachine(old->config, target)) {
+        old = std::make_unique<Record>();
+        old->cold = !first;
+        old->limit.setSlots(target.slots);
+    }
+    if (old->config.slots != target.slots)
+        old->limit.setSlots(target.slots);
+    old->config = target;
+    old->service = service;
+    old->local = target.domain == view->domain;
+    old->owner = old->local ? view->ownerOf(target.id) : nullptr;
+    const bool own = old->owner && old->owner->id == view->self;
+    if (own != old->own) {
+        // Evidence of an earlier time as owner is out of date, and the link has to be made anew.
+        old->evidence = impl::Evidence{};
+        old->waiting = 0;
+        old->offers = 0;
+        old->foreign = 0;
+        old->connections = impl::ConnectionCount{};
+    }
+    old->own = own;
+    return old;
+}
+
+void TargetTable::Impl::addToGroup(Group &holder, Record &record)
+{
+    if (record.local) {
+        holder.local.push_back(&record);
+        return;
+    }
+    const auto found = remoteMembers.find(record.config.domain);
+    if (found == remoteMembers.end() || found->second.empty())
+        return;
+    record.remoteOwners = &found->second;
+    holder.remote.push_back(&record);
+}
+
+TargetTable::Impl::Record *TargetTable::Impl::find(TargetId target) noexcept
+{
+    const auto found = records.find(target);
+    return found == records.end() ? nullptr : found->second.get();
+}
+
+const TargetTable::Impl::Record *TargetTable::Impl::find(TargetId target) const noexcept
+{
+    const auto found = records.find(target);
+    return found == records.end() ? nullptr : found->second.get();
+}
+
+TargetTable::Impl::Record *TargetTable::Impl::findOwn(TargetId target) noexcept
+{
+    Record *record = find(target);
+    return record && record->own ? record : nullptr;
+}
+
+const TargetTable::Impl::Record *TargetTable::Impl::findOwn(TargetId target) const noexcept
+{
+    const Record *record = find(target);
+    return record && record->own ? record : nullptr;
+}
+
+TargetTable::Impl::Group *TargetTable::Impl::group(ServiceId service) noexcept
+{
+    const auto found = groups.find(service);
+    return found == groups.end() ? nullptr : &found->second;
+}
+
+const TargetTable::Impl::Group *TargetTable::Impl::group(ServiceId service) const noexcept
+{
+    const auto found = groups.find(service);
+    return found == groups.end() ? nullptr : &found->second;
+}
+
+} // namespace baobabtrail
--- /dev/null
+++ b/src/core/targets/impl/heard_load.cpp
@@ -0,0 +1,77 @@
+#include "core/targets/impl/heard_load.h"
+
+#include <cmath>
+
+namespace baobabtrail::impl {
+
+namespace {
+
+constexpr Duration FlowsFade = 30s;
+constexpr Duration UnavailableFor = 2s;
+constexpr std::uint32_t SilentAfterAsks = 3;
+constexpr Duration SilentAfter = 100ms;
+constexpr Duration SilentRetry = 500ms;
+
+[[nodiscard]] double fading(Duration age, Duration fade) noexcept
+{
+    return std::exp(-static_cast<double>(age.count()) / static_cast<double>(fade.count()));
+}
+
+} // namespace
+
+void HeardLoad::hint(const LoadHint &hint, TimePoint now) noexcept
+{
+    m_last = hint;
+    m_heardAt = now;
+    m_requestsSent = 0;
+    m_flowsSent = 0;
+    m_unanswered = 0;
+}
+
+void HeardLoad::sent(TimePoint now) noexcept
+{
+    if (m_unanswered == 0)
+        m_unansweredSince = now;
+    ++m_unanswered;
+    m_lastSent = now;
+}
+
+void HeardLoad::sentRequest(double share, TimePoint now) noexcept
+{
+    m_requestsSent += share;
+    sent(now);
+}
+
+void HeardLoad::sentFlow(double share, TimePoint now) noexcept
+{
+    m_flowsSent += share;
+    sent(now);
+}
+
+double HeardLoad::requests(double usual, Duration fade, TimePoint now) const noexcept
+{
+    if (!heard() || m_last.requests >= UnavailableLoad)
+        return usual;
+    return usual + (m_last.requests + m_requestsSent - usual) * fading(now - m_heardAt, fade);
+}
+
+double HeardLoad::flows(double usual, TimePoint now) const noexcept
+{
+    if (!heard() || m_last.flows >= UnavailableLoad)
+        return usual + m_flowsSent;
+    return usual + (m_last.flows + m_flowsSent - usual) * fading(now - m_heardAt, FlowsFade);
+}
+
+bool HeardLoad::unavailable(TimePoint now) const noexcept
+{
+    return heard() && m_last.requests >= UnavailableLoad && now - m_heardAt < UnavailableFor;
+}
+
+bool HeardLoad::silent(TimePoint now) const noexcept
+{
+    if (m_unanswered < SilentAfterAsks || now - m_unansweredSince < SilentAfter)
+        return false;
+    return now - m_lastSent < SilentRetry;
+}
+
+} // namespace baobabtrail::impl
--- /dev/null
+++ b/src/core/targets/impl/heard_load.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "core/load.h"
+#include "core/time.h"
+
+#include <cstdint>
+
+namespace baobabtrail::impl {
+
+/// \brief Load that an owner gives for a target which may get no work.
+inline constexpr float UnavailableLoad = 1e6F;
+
+/// \brief The load of a target that another daemon owns, from what was last heard of it.
+class HeardLoad
+{
+public:
+    void hint(const LoadHint &hint, TimePoint now) noexcept;
+    void sentRequest(double share, TimePoint now) noexcept;
+    void sentFlow(double share, TimePoint now) noexcept;
+
+    /// \brief What the load is by now: what was heard fades into \a usual.
+    ///
+    /// A stale low load would draw every daemon's asks at once, a stale high one would keep them
+    /// away for ever; after a few service times neither says more than the mean of all.
+    [[nodiscard]] double requests(double usual, Duration fade, TimePoint now) const noexcept;
+    [[nodiscard]] double flows(double usual, TimePoint now) const noexcept;
+    /// \return Whether its owner said lately that it may get no work.
+    [[nodiscard]] bool unavailable(TimePoint now) const noexcept;
+    /// \return Whether asks go unanswered, as when the owner has died and the view doesn't show it.
+    [[nodiscard]] bool silent(TimePoint now) const noexcept;
+    /// \brief Word from the same owner about another target: the owner lives.
+    void ownerSpoke() noexcept { m_unanswered = 0; }
+    [[nodiscard]] bool heard() const noexcept { return m_heardAt != TimePoint::min(); }
+
+private:
+    void sent(TimePoint now) noexcept;
+
+    LoadHint m_last;
+    TimePoint m_heardAt = TimePoint::min();
+    double m_requestsSent = 0; ///< Asks sent since, over the target's limit.
+    double m_flowsSent = 0;
+    std::uint32_t m_unanswered = 0;
+    TimePoint m_unansweredSince{};
+    TimePoint m_lastSent{};
+};
+
+} // namespace baobabtrail::impl
--- /dev/null
+++ b/src/core/targets/impl/owner_side.cpp
@@ -0,0 +1,216 @@
+#include "core/targets/impl/table.h"
+
+#include <boost/random/uniform_int_distribution.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace baobabtrail {
+
+namespace {
+
+constexpr double ForeignGain = 0.05;
+constexpr double FadeGain = 0.02;
+constexpr Duration ShortestFade = 5ms;
+constexpr int PatienceInServiceTimes = 3;
+
+constexpr Duration AliveWithin = 10s;
+constexpr std::uint32_t UnansweredWhenGone = 6;
+constexpr Duration ReopenSpread = 500ms;
+constexpr Duration ReopenSpreadWhenGone = 5s;
+
+[[nodiscard]] std::string healthText(TargetHealth health)
+{
+    switch (health) {
+    case TargetHealth::Ejected:
+        return "does not answer and is ejected";
+    case TargetHealth::Mismatch:
+        return "says that it serves another service and gets nothing";
+    case TargetHealth::Warming:
+        return "takes work and is warming up";
+    default:
+        return "takes its full share";
+    }
+}
+
+} // namespace
+
+bool TargetTable::Impl::takesWork(const Record &record, TimePoint now) const noexcept
+{
+    if (record.config.state != TargetState::Active)
+        return false;
+    if (!record.evidence.linkUp() || !record.evidence.identified())
+        return false;
+    if (!record.evidence.ejected())
+        return true;
+    const Group *holder = group(record.service);
+    if (holder && holder->doubt)
+        return true;
+    return record.running == 0 && record.evidence.mayProbe(now);
+}
+
+std::uint32_t TargetTable::Impl::attemptsAllowed(const Record &record, TimePoint now) const noexcept
+{
+    return record.limit.whole(record.evidence.share(now));
+}
+
+bool TargetTable::Impl::slotFree(const Record &record, TimePoint now) const noexcept
+{
+    return takesWork(record, now) && record.running < attemptsAllowed(record, now);
+}
+
+bool TargetTable::Impl::takesFlow(const Record &record, TimePoint now) const noexcept
+{
+    if (record.config.state != TargetState::Active || !record.evidence.identified())
+        return false;
+    const Group *holder = group(record.service);
+    if (holder && holder->doubt)
+        return true;
+    if (record.evidence.ejected())
+        return record.offers == 0 && record.evidence.mayProbe(now);
+    return record.evidence.linkUp();
+}
+
+LoadHint TargetTable::Impl::loadOf(const Record &record, TimePoint now) const noexcept
+{
+    LoadHint hint;
+    hint.target = record.config.id;
+    const double allowed = attemptsAllowed(record, now);
+    // What the target reports beyond our own attempts counts, but never for more than half of its
+    // slots: a target that always says it is full would else get nothing for ever.
+    const double foreign = std::clamp(record.foreign - 1.0, 0.0, allowed / 2);
+    hint.requests = static_cast<float>((record.running + record.waiting + foreign) / allowed);
+    if (!takesWork(record, now))
+        hint.requests = impl::UnavailableLoad;
+    hint.flows = impl::UnavailableLoad;
+    if (!takesFlow(record, now))
+        return hint;
+    const Group *holder = group(record.service);
+    const double usual = holder ? holder->usualFlows : 0;
+    const double weight = std::max<double>(record.config.weight, 1);
+    const double held = (record.connections.value() + record.offers) / weight;
+    // A cold target holds next to nothing and would win every comparison; told as the usual load
+    // at first, it gets its even share and no herd.
+    const double share = record.evidence.share(now);
+    hint.flows = static_cast<float>(share * held + (1.0 - share) * std::max(usual, held));
+    return hint;
+}
+
+void TargetTable::Impl::takeReport(Record &record, const LoadReport &report, TimePoint now)
+{
+    record.report = report;
+    record.reportAt = now;
+    const double beyond
+        = static_cast<double>(report.running) + report.queued - static_cast<double>(record.running);
+    record.foreign += ForeignGain * (beyond - record.foreign);
+    const Group *holder = group(record.service);
+    const double usual = holder ? holder->usualFlows * record.config.weight : 0;
+    record.connections.reported(report.connections, usual, now);
+}
+
+void TargetTable::Impl::learn(Record &record, AttemptEnd end, Duration ran, std::uint32_t running,
+                              TimePoint now)
+{
+    const Duration usual = record.limit.serviceTime();
+    switch (end) {
+    case AttemptEnd::Done:
+        record.aliveAt = now;
+        record.evidence.succeeded(now);
+        record.limit.succeeded(running, ran);
+        if (Group *holder = group(record.service)) {
+            const auto gap = static_cast<double>((ran - holder->fade).count());
+            holder->fade += Duration{static_cast<Duration::rep>(FadeGain * gap)};
+            holder->fade = std::max(holder->fade, ShortestFade);
+        }
+        return;
+    case AttemptEnd::Shed:
+        record.aliveAt = now;
+        record.evidence.answered(now);
+        record.limit.shed(now);
+        return;
+    case AttemptEnd::TimedOut:
+        // A caller with a very short deadline says nothing about the target: counted, one
+        // impatient tenant could eject every target of the service.
+        if (ran >= PatienceInServiceTimes * usual)
+            record.evidence.unanswered(now);
+        return;
+    case AttemptEnd::Cancelled:
+        record.evidence.answered(now);
+        return;
+    case AttemptEnd::LinkBroken:
+        // linkLost() counts the broken connection once, not for each attempt that was on it.
+        return;
+    }
+}
+
+void TargetTable::Impl::judge(Record &record, TimePoint now)
+{
+    if (Group *holder = group(record.service))
+        refreshDoubt(*holder, now);
+}
+
+void TargetTable::Impl::refreshDoubt(Group &holder, TimePoint now) const noexcept
+{
+    std::size_t serving = 0;
+    std::size_t dead = 0;
+    for (const Record *record : holder.local) {
+        if (record->config.state != TargetState::Active)
+            continue;
+        ++serving;
+        const bool looksDead
+            = record->own ? record->evidence.ejected() : record->heard.unavailable(now);
+        dead += looksDead ? 1 : 0;
+    }
+    // When most targets look dead it is likelier that this daemon can't hear them; ejecting them
+    // all would turn a fault of ours into an outage, so they are served on.
+    holder.doubt = dead * 2 > serving;
+}
+
+std::optional<TimePoint> TargetTable::Impl::due(const Record &record) const noexcept
+{
+    return record.own ? record.evidence.probeAt() : std::nullopt;
+}
+
+void TargetTable::Impl::advance(TimePoint now, std::vector<Notice> &notices)
+{
+    for (auto &[service, holder] : groups)
+        refreshDoubt(holder, now);
+    for (auto &[id, record] : records) {
+        if (!record->own)
+            continue;
+        const TargetHealth health = record->evidence.health(now);
+        if (health == record->toldHealth || health == TargetHealth::Unverified)
+            continue;
+        record->toldHealth = health;
+        const bool bad = health == TargetHealth::Ejected || health == TargetHealth::Mismatch;
+        notices.push_back({bad ? Severity::Warning : Severity::Info,
+                           Part::Targets,
+                           "target " + record->config.name + " " + healthText(health),
+                           record->service,
+                           {}});
+    }
+}
+
+std::optional<Duration> TargetTable::Impl::reopenDelay(TargetId target, std::uint32_t unanswered,
+                                                       TimePoint now, Random &random)
+{
+    Record *record = find(target);
+    if (!record)
+        return std::nullopt;
+    const bool alive = record->aliveAt != TimePoint::min() && now - record->aliveAt < AliveWithin;
+    // A target that is silent to all may be back in a moment with its flows intact; only when it
+    // stays silent are they moved.
+    if (!alive && unanswered < UnansweredWhenGone)
+        return std::nullopt;
+    // One dead target holds thousands of flows; reopened at once they would overload the rest.
+    // Whoever finds no token asks again with the flow's next keep-alive.
+    if (!record->reopens.available(now) || !m_reopens.available(now))
+        return std::nullopt;
+    record->reopens.spend();
+    m_reopens.spend();
+    const Duration spread = alive ? ReopenSpread : ReopenSpreadWhenGone;
+    boost::random::uniform_int_distribution<Duration::rep> wait{0, spread.count()};
+    return Duration{wait(random)};
+}
+
+} // namespace baobabtrail
--- /dev/null
+++ b/src/core/targets/impl/table.h
@@ -0,0 +1,151 @@
+#pragma once
+
+#include "core/targets/impl/concurrency_limit.h"
+#include "core/targets/impl/connection_count.h"
+#include "core/targets/impl/evidence.h"
+#include "core/targets/impl/heard_load.h"
+#include "core/targets/impl/reopen_budget.h"
+#include "core/targets/target_table.h"
+
+#include <boost/unordered/unordered_flat_map.hpp>
+
+#include <optional>
+#include <vector>
+
+namespace baobabtrail {
+
+namespace impl {
+
+inline constexpr double ReopensPerSecond = 20;
+inline constexpr double ReopenBurst = 10;
+inline constexpr double DaemonReopensPerSecond = 100;
+inline constexpr double DaemonReopenBurst = 50;
+
+/// \brief Everything known of one target.
+struct TargetRecord
+{
+    TargetConfig config;
+    ServiceId service;
+    const Member *owner = nullptr; ///< Of this domain's view; null for other domains' targets.
+    const std::vector<Member> *remoteOwners = nullptr; ///< Live daemons of another domain.
+    bool own = false;
+    bool local = false; ///< In this daemon's failure domain.
+    bool cold = false;  ///< Came with a later configuration than the first.
+
+    Evidence evidence;
+    ConcurrencyLimit limit;
+    ConnectionCount connections;
+    HeardLoad heard;
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t offers = 0; ///< Opens that the target has not answered yet.
+    double foreign = 0;       ///< Requests that the target reports beyond ours, smoothed.
+    LoadReport report;
+    TimePoint reportAt = TimePoint::min();
+    TimePoint aliveAt = TimePoint::min(); ///< Last sign of life, on any daemon.
+    TokenBucket reopens{ReopensPerSecond, ReopenBurst};
+    TargetHealth toldHealth = TargetHealth::Good; ///< In the log.
+};
+
+/// \brief Targets of one service, by where they are.
+struct ServiceGroup
+{
+    std::vector<TargetRecord *> local;
+    std::vector<TargetRecord *> remote; ///< In other domains that have a live daemon.
+    double usualRequests = 0.8;
+    double usualFlows = 0;
+    double usualRemote = 0.8;
+    Duration fade = 20ms; ///< Mean service time seen here.
+    bool doubt = false;   ///< Most targets look dead: the observer is doubted, they are served.
+    bool spilling = false;
+
+    /// \brief Takes over what an earlier configuration's group has learnt.
+    void keepLearnt(const ServiceGroup &before)
+    {
+        usualRequests = before.usualRequests;
+        usualFlows = before.usualFlows;
+        usualRemote = before.usualRemote;
+        fade = before.fade;
+        spilling = before.spilling;
+    }
+};
+
+} // namespace impl
+
+class TargetTable::Impl
+{
+public:
+    using Record = impl::TargetRecord;
+    using Group = impl::ServiceGroup;
+
+    void configure(ConfigPtr config, ViewPtr view, TimePoint now);
+
+    [[nodiscard]] Record *find(TargetId target) noexcept;
+    [[nodiscard]] const Record *find(TargetId target) const noexcept;
+    [[nodiscard]] Record *findOwn(TargetId target) noexcept;
+    [[nodiscard]] const Record *findOwn(TargetId target) const noexcept;
+    [[nodiscard]] Group *group(ServiceId service) noexcept;
+    [[nodiscard]] const Group *group(ServiceId service) const noexcept;
+
+    // Owned targets.
+    [[nodiscard]] bool takesWork(const Record &record, TimePoint now) const noexcept;
+    [[nodiscard]] bool slotFree(const Record &record, TimePoint now) const noexcept;
+    [[nodiscard]] bool takesFlow(const Record &record, TimePoint now) const noexcept;
+    [[nodiscard]] std::uint32_t attemptsAllowed(const Record &record, TimePoint now) const noexcept;
+    [[nodiscard]] LoadHint loadOf(const Record &record, TimePoint now) const noexcept;
+    void takeReport(Record &record, const LoadReport &report, TimePoint now);
+    void learn(Record &record, AttemptEnd end, Duration ran, std::uint32_t running, TimePoint now);
+    void judge(Record &record, TimePoint now);
+    [[nodiscard]] std::optional<TimePoint> due(const Record &record) const noexcept;
+
+    // Choice.
+    [[nodiscard]] std::optional<PlacementChoice>
+    chooseForRequest(ServiceId service, const std::vector<LoadHint> &declined, TimePoint now,
+                     Random &random);
+    [[nodiscard]] std::optional<PlacementChoice>
+    chooseForFlow(ServiceId service, FlowId flow, std::uint32_t attempt,
+                  const std::vector<LoadHint> &declined, TimePoint now, Random &random);
+    void hint(const LoadHint &hint, TimePoint now);
+
+    [[nodiscard]] std::optional<Duration> reopenDelay(TargetId target, std::uint32_t unanswered,
+                                                      TimePoint now, Random &random);
+    void advance(TimePoint now, std::vector<Notice> &notices);
+
+    ViewPtr view;
+    ConfigPtr config;
+    boost::unordered_flat_map<TargetId, std::unique_ptr<Record>> records;
+    boost::unordered_flat_map<ServiceId, Group> groups;
+    std::map<std::string, std::vector<Member>> remoteMembers; ///< Live ones, by domain.
+
+private:
+    struct Scored
+    {
+        Record *record = nullptr;
+        double load = 0;
+    };
+
+    [[nodiscard]] std::unique_ptr<Record> keepOrMake(std::unique_ptr<Record> old,
+                                                     const TargetConfig &target, ServiceId service,
+                                                     bool first) const;
+    void addToGroup(Group &holder, Record &record);
+    [[nodiscard]] bool placeable(const Record &record, const std::vector<LoadHint> &declined,
+                                 TimePoint now) const noexcept;
+    [[nodiscard]] double requestLoad(const Group &holder, const Record &record,
+                                     TimePoint now) const noexcept;
+    [[nodiscard]] double flowLoad(const Group &holder, const Record &record,
+                                  TimePoint now) const noexcept;
+    [[nodiscard]] Scored leastOfTwo(const Group &holder, const std::vector<Record *> &among,
+                                    TimePoint now, Random &random) const;
+    [[nodiscard]] Scored spill(Group &holder, const std::vector<LoadHint> &declined, TimePoint now,
+                               Random &random);
+    [[nodiscard]] PlacementChoice chosen(const Record &record, Random &random) const;
+    void updateSpilling(Group &holder, double least) const noexcept;
+    void refreshDoubt(Group &holder, TimePoint now) const noexcept;
+
+    std::vector<Record *> m_candidates; ///< Kept between calls to save allocations.
+    std::vector<Record *> m_others;
+    std::vector<Scored> m_ranked;
+    impl::TokenBucket m_reopens{impl::DaemonReopensPerSecond, impl::DaemonReopenBurst};
+};
+
+} // namespace baobabtrail
--- /dev/null
+++ b/src/core/targets/target_table.cpp
@@ -0,0 +1,250 @@
+#include "core/targets/target_table.h"
+
+#include "core/targets/impl/table.h"
+
+#include <boost/random/uniform_real_distribution.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace baobabtrail {
+
+namespace {
+
+constexpr Duration FirstLinkRetry = 100ms;
+constexpr Duration LongestLinkRetry = 5s;
+
+} // namespace
+
+TargetTable::TargetTable()
+    : m_impl(std::make_unique<Impl>())
+{
+}
+
+TargetTable::~TargetTable() = default;
+
+void TargetTable::configure(ConfigPtr config, ViewPtr view, TimePoint now)
+{
+    m_impl->configure(std::move(config), std::move(view), now);
+}
+
+std::optional<PlacementChoice> TargetTable::chooseForFlow(ServiceId service, FlowId flow,
+                                                          std::uint32_t attempt,
+                                                          const std::vector<LoadHint> &declined,
+                                                          TimePoint now, Random &random)
+{
+    return m_impl->chooseForFlow(service, flow, attempt, declined, now, random);
+}
+
+std::optional<PlacementChoice> TargetTable::chooseForRequest(ServiceId service, const RequestId &,
+                                                             const std::vector<LoadHint> &declined,
+                                                             TimePoint now, Random &random)
+{
+    return m_impl->chooseForRequest(service, declined, now, random);
+}
+
+void TargetTable::hint(const LoadHint &hint, TimePoint now)
+{
+    m_impl->hint(hint, now);
+}
+
+bool TargetTable::owns(TargetId target) const noexcept
+{
+    return m_impl->findOwn(target) != nullptr;
+}
+
+std::vector<TargetId> TargetTable::owned() const
+{
+    std::vector<TargetId> result;
+    for (const auto &[id, record] : m_impl->records) {
+        if (record->own)
+            result.push_back(id);
+    }
+    std::ranges::sort(result);
+    return result;
+}
+
+bool TargetTable::takesWork(TargetId target, TimePoint now) const noexcept
+{
+    const impl::TargetRecord *record = m_impl->findOwn(target);
+    return record && m_impl->takesWork(*record, now);
+}
+
+bool TargetTable::slotFree(TargetId target, TimePoint now) const noexcept
+{
+    const impl::TargetRecord *record = m_impl->findOwn(target);
+    return record && m_impl->slotFree(*record, now);
+}
+
+bool TargetTable::takesFlow(TargetId target, TimePoint now) const noexcept
+{
+    const impl::TargetRecord *record = m_impl->findOwn(target);
+    return record && m_impl->takesFlow(*record, now);
+}
+
+LoadHint TargetTable::loadOf(TargetId target, TimePoint now) const noexcept
+{
+    const impl::TargetRecord *record = m_impl->findOwn(target);
+    return record ? m_impl->loadOf(*record, now)
+                  : LoadHint{target, impl::UnavailableLoad, impl::UnavailableLoad};
+}
+
+std::optional<TargetStatus> TargetTable::status(TargetId target, TimePoint now) const
+{
+    const impl::TargetRecord *record = m_impl->findOwn(target);
+    if (!record)
+        return std::nullopt;
+    TargetStatus status;
+    status.target = target;
+    status.service = record->service;
+    status.health = record->evidence.health(now);
+    status.concurrencyLimit = record->limit.value();
+    status.running = record->running;
+    status.waiting = record->waiting;
+    status.reported = record->report;
+    if (record->reportAt != TimePoint::min())
+        status.reportAge = now - record->reportAt;
+    return status;
+}
+
+void TargetTable::linkVerified(TargetId target, ServiceId says, const LoadReport &load,
+                               TimePoint now)
+{
+    impl::TargetRecord *record = m_impl->findOwn(target);
+    if (!record)
+        return;
+    record->evidence.verified(says == record->service, record->cold, now);
+    record->aliveAt = now;
+    m_impl->takeReport(*record, load, now);
+    m_impl->judge(*record, now);
+}
+
+void TargetTable::linkLost(TargetId target, TimePoint now)
+{
+    impl::TargetRecord *record = m_impl->findOwn(target);
+    if (!record)
+        return;
+    record->evidence.linkLost(now);
+    m_impl->judge(*record, now);
+}
+
+Duration TargetTable::linkRetryDelay(TargetId target, Random &random) const
+{
+    const impl::TargetRecord *record = m_impl->findOwn(target);
+    const std::uint32_t losses = record ? record->evidence.linkLosses() : 0;
+    constexpr std::uint32_t MostDoublings = 6;
+    const Duration grown = FirstLinkRetry * (1U << std::min(losses, MostDoublings));
+    // Without jitter every daemon would dial a target that comes back at the same instant.
+    boost::random::uniform_real_distribution<double> jitter{0.5, 1.0};
+    const auto bounded = static_cast<double>(std::min(grown, LongestLinkRetry).count());
+    return Duration{static_cast<Duration::rep>(bounded * jitter(random))};
+}
+
+void TargetTable::setWaiting(TargetId target, std::uint32_t waiting) noexcept
+{
+    if (impl::TargetRecord *record = m_impl->findOwn(target))
+        record->waiting = waiting;
+}
+
+void TargetTable::attemptStarted(TargetId target, TimePoint now)
+{
+    impl::TargetRecord *record = m_impl->find(target);
+    if (!record)
+        return;
+    ++record->running;
+    if (record->evidence.ejected())
+        record->evidence.probeStarted(now);
+}
+
+void TargetTable::attemptEnded(TargetId target, AttemptEnd end, Duration ran,
+                               const LoadReport *load, TimePoint now)
+{
+    impl::TargetRecord *record = m_impl->find(target);
+    if (!record)
+        return;
+    const std::uint32_t running = record->running;
+    record->running -= running > 0 ? 1 : 0;
+    m_impl->learn(*record, end, ran, running, now);
+    if (load)
+        m_impl->takeReport(*record, *load, now);
+    m_impl->judge(*record, now);
+}
+
+void TargetTable::flowOffered(TargetId target, TimePoint now)
+{
+    impl::TargetRecord *record = m_impl->findOwn(target);
+    if (!record)
+        return;
+    ++record->offers;
+    if (record->evidence.ejected())
+        record->evidence.probeStarted(now);
+}
+
+void TargetTable::flowAccepted(TargetId target, const LoadReport &load, TimePoint now)
+{
+    impl::TargetRecord *record = m_impl->findOwn(target);
+    if (!record)
+        return;
+    record->offers -= record->offers > 0 ? 1 : 0;
+    record->aliveAt = now;
+    record->connections.accepted(now);
+    record->evidence.openAnswered(now);
+    m_impl->takeReport(*record, load, now);
+    m_impl->judge(*record, now);
+}
+
+void TargetTable::flowRefused(TargetId target, const LoadReport *load, TimePoint now)
+{
+    impl::TargetRecord *record = m_impl->findOwn(target);
+    if (!record)
+        return;
+    record->offers -= record->offers > 0 ? 1 : 0;
+    record->aliveAt = now;
+    record->evidence.answered(now);
+    if (load)
+        m_impl->takeReport(*record, *load, now);
+    m_impl->judge(*record, now);
+}
+
+void TargetTable::flowUnanswered(TargetId target, TimePoint now)
+{
+    impl::TargetRecord *record = m_impl->findOwn(target);
+    if (!record)
+        return;
+    record->offers -= record->offers > 0 ? 1 : 0;
+    record->evidence.openUnanswered(now);
+    m_impl->judge(*record, now);
+}
+
+void TargetTable::heardFrom(TargetId target, TimePoint now)
+{
+    impl::TargetRecord *record = m_impl->find(target);
+    if (!record)
+        return;
+    record->aliveAt = now;
+    record->evidence.heard(now);
+}
+
+std::optional<Duration> TargetTable::reopenDelay(TargetId target, std::uint32_t unanswered,
+                                                 TimePoint now, Random &random)
+{
+    return m_impl->reopenDelay(target, unanswered, now, random);
+}
+
+void TargetTable::advance(TimePoint now, std::vector<Notice> &notices)
+{
+    m_impl->advance(now, notices);
+}
+
+std::optional<TimePoint> TargetTable::nextTimer() const
+{
+    std::optional<TimePoint> next;
+    for (const auto &[id, record] : m_impl->records) {
+        const std::optional<TimePoint> due = m_impl->due(*record);
+        if (due && (!next || *due < *next))
+            next = due;
+    }
+    return next;
+}
+
+} // namespace baobabtrail
