Measure the placement of requests against baselines

bench-policy drives the target table and the admission queue of every daemon in virtual time, beside random placement, the less of two by own counts, and an all-knowing shortest queue.

--- /dev/null
+++ b/bench/policy.cpp
@@ -0,0 +1,125 @@
+/// \file
+/// \brief Measures the placement of requests and flows against baselines, in virtual time.
+
+#include "bench/policy/baselines.h"
+#include "bench/policy/product_way.h"
+
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <string>
+#include <vector>
+
+DEFINE_uint64(seed, 20260, "seed of every run");
+DEFINE_string(only, "", "part of a scenario's name; empty for all");
+
+namespace {
+
+using namespace baobabtrail;
+using namespace baobabtrail::bench;
+
+[[nodiscard]] double quantile(std::vector<double> values, double share)
+{
+    if (values.empty())
+        return 0;
+    const auto at = static_cast<std::ptrdiff_t>(share * static_cast<double>(values.size() - 1));
+    std::nth_element(values.begin(), values.begin() + at, values.end());
+    return values[static_cast<std::size_t>(at)];
+}
+
+[[nodiscard]] double percent(std::uint64_t part, std::uint64_t whole)
+{
+    return whole == 0 ? 0.0 : 100.0 * static_cast<double>(part) / static_cast<double>(whole);
+}
+
+void printRow(const char *way, const RequestResult &result, double boundP99)
+{
+    std::printf("  %-16s %7.1f %7.1f %7.1f %6.2f   %5.2f %5.2f   %5.3f  %5.1f %5.1f %5.1f  %5llu",
+                way, quantile(result.latencies, 0.5), quantile(result.latencies, 0.99),
+                quantile(result.latencies, 0.999),
+                quantile(result.latencies, 0.99) / std::max(boundP99, 1e-9),
+                quantile(result.atTarget, 0.5), quantile(result.imbalance, 0.5), result.goodput,
+                percent(result.classes[0].refused, result.classes[0].offered),
+                percent(result.classes[1].refused, result.classes[1].offered),
+                percent(result.classes[2].refused, result.classes[2].offered),
+                static_cast<unsigned long long>(result.lost));
+    if (result.hops > 0)
+        std::printf("  %.2f", static_cast<double>(result.hops)
+                                  / static_cast<double>(std::max<std::size_t>(
+                                      result.latencies.size() + result.refusalTimes.size(), 1)));
+    std::printf("\n");
+}
+
+void printMixed(const RequestResult &result)
+{
+    std::printf("  ours: refusals p50 %.2f ms, p99 %.2f ms after the ask;",
+                quantile(result.refusalTimes, 0.5), quantile(result.refusalTimes, 0.99));
+    for (const auto &[tenant, counts] : result.tenants)
+        std::printf(" %s answered %.1f%%", tenant.c_str(),
+                    percent(counts.answered, counts.offered));
+    std::printf("\n");
+}
+
+[[nodiscard]] RequestResult baseline(const Scenario &scenario, const Layout &layout, Baseline kind)
+{
+    RequestRun run{scenario, layout, FLAGS_seed};
+    BaselineWay way{run, kind};
+    return run.play(way);
+}
+
+void compare(const Scenario &scenario, const Layout &layout)
+{
+    if (scenario.name.find(FLAGS_only) == std::string::npos)
+        return;
+    std::printf("%s: %zu targets of %u slots, %zu daemons, %zu domain(s)\n", scenario.name.c_str(),
+                layout.targets, layout.slots, layout.daemons, layout.domains);
+    const RequestResult bound = baseline(scenario, layout, Baseline::ShortestQueue);
+    const double boundP99 = quantile(bound.latencies, 0.99);
+    printRow("random", baseline(scenario, layout, Baseline::Random), boundP99);
+    printRow("two, own counts", baseline(scenario, layout, Baseline::TwoOwnCounts), boundP99);
+    RequestRun run{scenario, layout, FLAGS_seed};
+    ProductWay way{run};
+    const RequestResult ours = run.play(way);
+    printRow("baobabtrail", ours, boundP99);
+    printRow("shortest queue", bound, boundP99);
+    if (scenario.mixed)
+        printMixed(ours);
+}
+
+[[nodiscard]] std::vector<Scenario> requestScenarios()
+{
+    return {
+        {"steady 70%", 0.7, false, Fault::None, false, 60s},
+        {"steady 90%", 0.9, false, Fault::None, false, 100s},
+        {"steady 95%", 0.95, false, Fault::None, false, 60s},
+        {"bursty 70%", 0.7, true, Fault::None, false, 60s},
+        {"slow target 70%", 0.7, false, Fault::SlowTarget, false, 40s},
+        {"cold target 70%", 0.7, false, Fault::ColdTarget, false, 40s},
+        {"lying empty 90%", 0.9, false, Fault::LyingEmpty, false, 40s},
+        {"lying full 90%", 0.9, false, Fault::LyingFull, false, 40s},
+        {"late reports 90%", 0.9, false, Fault::LateReports, false, 40s},
+        {"drain 70%", 0.7, false, Fault::Drain, false, 40s},
+        {"daemon joins 90%", 0.9, false, Fault::DaemonJoins, false, 40s},
+        {"daemon dies 70%", 0.7, false, Fault::DaemonDies, false, 40s},
+        {"overload 200%", 2.0, false, Fault::None, true, 30s},
+    };
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    std::printf("bench-policy --seed=%llu\n", static_cast<unsigned long long>(FLAGS_seed));
+    std::printf(
+        "  way                p50 ms  p99 ms p99.9ms  /best  imb@t imb+q  goodput  refused%% "
+        "by class  lost  hops\n");
+    for (const std::uint32_t slots : {2U, 3U}) {
+        for (const Scenario &scenario : requestScenarios())
+            compare(scenario, Layout{14, slots, 8, 1});
+    }
+    for (const Scenario &scenario : requestScenarios())
+        compare(scenario, Layout{14, 2, 8, 3});
+    return 0;
+}
--- /dev/null
+++ b/bench/policy/request_run.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "scenario.h"
+#include "simulator.h"
+
+#include "core/messages/request.h"
+
+#include <array>
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace baobabtrail::bench {
+
+/// \brief One request, the same for every way that is compared.
+struct Job
+{
+    RequestId id;
+    TimePoint arrived;
+    TimePoint deadline;
+    RequestClass requestClass = RequestClass::Normal;
+    std::string tenant = "school";
+    double work = 1.0; ///< Over the mean service time.
+};
+
+/// \brief A target: as many servers as slots, and a short queue in front of them.
+struct FakeTarget
+{
+    std::uint32_t slots = 2;
+    std::uint32_t running = 0;
+    std::uint32_t assigned = 0; ///< Running, queued here, or waiting at a daemon for this target.
+    std::deque<std::function<void()>> queue;
+    double slowness = 1.0;
+    bool placeable = true;                             ///< In the configuration and not drained.
+    bool owned = true;                                 ///< False while its owner is dead.
+    std::deque<std::pair<TimePoint, LoadReport>> past; ///< For reports that come late.
+};
+
+struct ClassResult
+{
+    std::uint64_t offered = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t answered = 0;
+};
+
+/// \brief What one way made of one scenario.
+struct RequestResult
+{
+    std::vector<double> latencies; ///< Milliseconds.
+    std::vector<double> imbalance; ///< Max over mean of assigned requests, at each arrival.
+    std::vector<double> atTarget;  ///< The same of requests inside the targets.
+    std::array<ClassResult, RequestClassCount> classes;
+    std::map<std::string, ClassResult> tenants;
+    std::vector<double> refusalTimes; ///< Milliseconds from the ask to the refusal.
+    std::uint64_t lost = 0;           ///< Deadline passed or owner died.
+    std::uint64_t hops = 0;           ///< Datagrams between daemons before the reservation.
+    double goodput = 0;               ///< Answered work over the capacity.
+};
+
+/// \brief The world of one run: targets, arrivals, measures. A Way places the jobs.
+class RequestRun
+{
+public:
+    RequestRun(const Scenario &scenario, const Layout &layout, std::uint64_t seed);
+
+    template <typename Way>
+    RequestResult play(Way &way)
+    {
+        way.start();
+        scheduleFault([&way](Fault fault) { way.faulted(fault); });
+        m_arrive = [this, &way](const Job &job, std::size_t entry) { way.arrive(job, entry); };
+        scheduleArrival();
+        sim.run(TimePoint{} + scenario.length);
+        finish();
+        return std::move(result);
+    }
+
+    [[nodiscard]] Duration hop(std::size_t fromDomain, std::size_t toDomain);
+    [[nodiscard]] std::size_t domainOfDaemon(std::size_t daemon) const
+    {
+        return daemon % layout.domains;
+    }
+    [[nodiscard]] std::size_t domainOfTarget(std::size_t target) const
+    {
+        return target % layout.domains;
+    }
+    [[nodiscard]] std::size_t someEntry();
+    [[nodiscard]] bool measuring() const;
+
+    /// \brief The job reaches the target; \a done is called at its end.
+    void serve(std::size_t target, const Job &job, std::function<void()> done);
+    [[nodiscard]] LoadReport reportOf(std::size_t target);
+    void answered(const Job &job);
+    void refused(const Job &job);
+    void lost(const Job &job);
+
+    Scenario scenario;
+    Layout layout;
+    Simulator sim;
+    std::vector<FakeTarget> targets;
+    std::vector<bool> daemonUp;   ///< Runs.
+    std::vector<bool> daemonSeen; ///< Gets packets from the fabric.
+    RequestResult result;
+
+private:
+    void scheduleArrival();
+    void scheduleFault(std::function<void(Fault)> tell);
+    void applyFault();
+    void warmUp(std::size_t target, int step);
+    void begin(std::size_t target, const Job &job, std::function<void()> done);
+    void sample();
+    void finish();
+    [[nodiscard]] Job makeJob();
+
+    Random m_jobs; ///< Apart from the simulator's, so that every way gets the same jobs.
+    std::function<void(const Job &, std::size_t)> m_arrive;
+    std::uint64_t m_count = 0;
+    bool m_burst = false;
+    TimePoint m_burstUntil{};
+    double m_answeredWork = 0;
+};
+
+} // namespace baobabtrail::bench
