Add the control node: log of changes, its distribution, membership

A change is accepted by one conditional create; a lost reply is resolved by reading that object back and by writing the same record again. Records apply in order only. Membership is SWIM within the domain.

--- /dev/null
+++ b/src/core/config/proposer.cpp
@@ -0,0 +1,222 @@
+#include "core/config/proposer.h"
+
+#include "core/config/log_keys.h"
+#include "core/config/record_codec.h"
+
+namespace baobabtrail {
+
+namespace {
+
+constexpr Duration ProposalTimeout = 8s;
+constexpr std::uint32_t MaxRevisionsTried = 64;
+constexpr std::size_t MaxQueuedProposals = 256;
+constexpr Duration FirstRetry = 100ms;
+constexpr Duration LongestRetry = 1s;
+
+[[nodiscard]] LogUnreachable asFailure(const PlatformResult &result)
+{
+    if (const auto *failure = std::get_if<PlatformFailure>(&result))
+        return {failure->what, failure->retryAfter};
+    return {"the platform gave an answer of another kind", Duration{0}};
+}
+
+} // namespace
+
+Proposer::Proposer(ControlContext &context, ConfigLog &log, LogReader &reader,
+                   ClearanceCheck clearance)
+    : m_context(context)
+    , m_log(log)
+    , m_reader(reader)
+    , m_clearance(std::move(clearance))
+{
+}
+
+void Proposer::propose(Propose request)
+{
+    auto attempt = std::make_shared<Attempt>();
+    attempt->request = std::move(request);
+    attempt->backoff = Backoff{FirstRetry, LongestRetry};
+    if (m_queue.size() >= MaxQueuedProposals) {
+        m_context.emit(ProposalDone{attempt->request.proposal,
+                                    ProposalUnknown{"too many changes wait at this daemon"}});
+        return;
+    }
+    m_queue.push_back(std::move(attempt));
+    if (m_queue.size() == 1)
+        startNext();
+}
+
+void Proposer::startNext()
+{
+    if (m_queue.empty())
+        return;
+    const AttemptPtr attempt = m_queue.front();
+    attempt->deadline = m_context.now() + ProposalTimeout;
+    if (!answerKnown(attempt))
+        readLog(attempt);
+}
+
+void Proposer::finish(const AttemptPtr &attempt, ProposalOutcome outcome)
+{
+    m_context.emit(ProposalDone{attempt->request.proposal, std::move(outcome)});
+    m_queue.pop_front();
+    // From a timer: a queue of repeated changes would otherwise be answered by recursion.
+    if (!m_queue.empty())
+        m_context.after(Duration{0}, [this] { startNext(); });
+}
+
+void Proposer::readLog(const AttemptPtr &attempt)
+{
+    m_reader.catchUp([this, attempt](const LogReadResult &result) {
+        if (const auto *failure = std::get_if<LogUnreachable>(&result))
+            return retryLater(attempt, *failure, &Proposer::readLog);
+        // Whether this change stands behind the broken record can't be told.
+        if (const auto *broken = std::get_if<LogBroken>(&result))
+            return giveUp(attempt, "the log can't be read: " + toString(broken->finding));
+        decide(attempt);
+    });
+}
+
+void Proposer::decide(const AttemptPtr &attempt)
+{
+    if (answerKnown(attempt) || refuseUnexpected(attempt))
+        return;
+    if (++attempt->tries > MaxRevisionsTried)
+        return refuse(attempt,
+                      {"change: " + std::to_string(MaxRevisionsTried)
+                       + " other changes came first; ask again"},
+                      m_log.changeAt(m_log.revision()));
+
+    ChangeRecord record = attempt->request.draft;
+    record.revision = Revision{m_log.revision().value() + 1};
+    record.unixSeconds = m_context.unixNow().time_since_epoch().count();
+    record.quarantineSeconds
+        = std::chrono::duration_cast<std::chrono::seconds>(m_context.settings().addressQuarantine)
+              .count();
+    const ApplyResult applied = applyRecord(*m_log.config(), record);
+    if (!applied.findings.empty())
+        return refuse(attempt, toStrings(applied.findings));
+
+    attempt->revision = record.revision;
+    attempt->text = encodeRecord(record);
+    if (attempt->text.size() > MaxObjectBytes)
+        return refuse(attempt, {"change: takes " + std::to_string(attempt->text.size())
+                                + " bytes, more than " + std::to_string(MaxObjectBytes)});
+    if (!applied.quarantined.empty())
+        return clear(attempt, applied);
+    if (attempt->request.dryRun)
+        return finish(attempt, ProposalPreview{applied.effects, m_log.revision()});
+    write(attempt);
+}
+
+void Proposer::clear(const AttemptPtr &attempt, const ApplyResult &applied)
+{
+    m_clearance(applied.quarantined,
+                [this, attempt, effects = applied.effects](const Findings &findings) {
+                    if (!findings.empty())
+                        return refuse(attempt, toStrings(findings));
+                    if (attempt->request.dryRun)
+                        return finish(attempt, ProposalPreview{effects, m_log.revision()});
+                    write(attempt);
+                });
+}
+
+void Proposer::write(const AttemptPtr &attempt)
+{
+    m_context.call(CreateObject{logKey(attempt->revision), attempt->text},
+                   [this, attempt](const PlatformResult &result) { onWritten(attempt, result); });
+}
+
+void Proposer::onWritten(const AttemptPtr &attempt, const PlatformResult &result)
+{
+    if (std::holds_alternative<Written>(result)) {
+        m_lastWritten = attempt->revision;
+        (void)m_reader.append(attempt->revision, attempt->text);
+        return finish(attempt, ProposalAccepted{attempt->revision, false});
+    }
+    if (std::holds_alternative<WriteConflict>(result))
+        return readBack(attempt);
+    // The reply may be lost and the record in the log, or the write still on its way.
+    retryLater(attempt, asFailure(result), &Proposer::readBack);
+}
+
+void Proposer::readBack(const AttemptPtr &attempt)
+{
+    m_context.call(ReadObject{logKey(attempt->revision)}, [this,
+                                                           attempt](const PlatformResult &result) {
+        if (const auto *object = std::get_if<StoredObject>(&result))
+            return onReadBack(attempt, *object);
+        // A write that is still on its way may yet arrive, so absence is no
+        // refusal. The same record under the same key does no harm twice: one
+        // create takes effect, whichever arrives first.
+        if (std::holds_alternative<ObjectMissing>(result))
+            return retryLater(attempt, {"the write has no result", Duration{0}}, &Proposer::write);
+        retryLater(attempt, asFailure(result), &Proposer::readBack);
+    });
+}
+
+void Proposer::onReadBack(const AttemptPtr &attempt, const StoredObject &object)
+{
+    if (object.value == attempt->text) {
+        m_lastWritten = attempt->revision;
+        (void)m_reader.append(attempt->revision, object.value);
+        return finish(attempt, ProposalAccepted{attempt->revision, false});
+    }
+    onTaken(attempt, object);
+}
+
+// Another record has the revision: our create can never take effect there any more.
+void Proposer::onTaken(const AttemptPtr &attempt, const StoredObject &object)
+{
+    const AppendResult appended = m_reader.append(attempt->revision, object.value);
+    if (std::holds_alternative<RecordBad>(appended) || std::holds_alternative<RecordGap>(appended))
+        return readLog(attempt);
+    decide(attempt);
+}
+
+bool Proposer::answerKnown(const AttemptPtr &attempt)
+{
+    const auto revision = m_log.revisionOf(attempt->request.draft.changeId);
+    if (!revision)
+        return false;
+    finish(attempt, ProposalAccepted{*revision, true});
+    return true;
+}
+
+bool Proposer::refuseUnexpected(const AttemptPtr &attempt)
+{
+    const auto &expected = attempt->request.expected;
+    if (!expected || *expected == m_log.revision())
+        return false;
+    const std::string winner = m_log.changeAt(Revision{expected->value() + 1});
+    std::string finding = "expected revision " + std::to_string(expected->value())
+                          + ": the newest is " + std::to_string(m_log.revision().value());
+    if (!winner.empty())
+        finding += "; change \"" + winner + "\" came first";
+    refuse(attempt, {std::move(finding)}, winner);
+    return true;
+}
+
+void Proposer::refuse(const AttemptPtr &attempt, std::vector<std::string> findings,
+                      std::string winner)
+{
+    finish(attempt, ProposalRefused{std::move(findings), std::move(winner), m_log.revision()});
+}
+
+void Proposer::giveUp(const AttemptPtr &attempt, const std::string &what)
+{
+    finish(attempt, ProposalUnknown{what});
+}
+
+void Proposer::retryLater(const AttemptPtr &attempt, const LogUnreachable &failure,
+                          void (Proposer::*step)(const AttemptPtr &))
+{
+    const Duration wait = attempt->backoff.next(m_context.random(), failure.retryAfter);
+    // Even where nothing was written now, an earlier call with this change id may have been.
+    if (m_context.now() + wait > attempt->deadline)
+        return giveUp(attempt, "the platform gave no answer (" + failure.what
+                                   + "); ask again with the same change id");
+    m_context.after(wait, [this, attempt, step] { (this->*step)(attempt); });
+}
+
+} // namespace baobabtrail
--- /dev/null
+++ b/src/core/config/snapshot_writer.cpp
@@ -0,0 +1,170 @@
+#include "core/config/snapshot_writer.h"
+
+#include "core/config/log_keys.h"
+#include "core/config/record_codec.h"
+
+#include <algorithm>
+
+namespace baobabtrail {
+
+namespace {
+
+constexpr std::uint32_t SnapshotPage = 16;
+constexpr std::uint32_t DeletesPerTick = 32;
+constexpr std::size_t SnapshotsKept = 2;
+
+/// A create that was sent long ago and arrives late must find its key taken, or the log would
+/// begin with a record that never was in force. No call stays under way for so long.
+constexpr std::chrono::seconds LeastRecordAge = std::chrono::hours{1};
+
+} // namespace
+
+void SnapshotWriter::tick(std::size_t rank)
+{
+    if (m_busy)
+        return;
+    if (isDue(rank)) {
+        m_busy = true;
+        list(rank, std::string{SnapshotPrefix}, {});
+    } else if (!m_oldSnapshots.empty() || !m_compactTo.isNull()) {
+        m_busy = true;
+        compact();
+    }
+}
+
+bool SnapshotWriter::isDue(std::size_t rank) const
+{
+    const std::size_t every = m_context.settings().snapshotEvery;
+    // Later ranks wait a while longer: they step in only where the ones before them don't.
+    const std::size_t after = every + rank * std::max<std::size_t>(every / 8, 1);
+    return m_log.revision().value() >= m_newest.value() + after;
+}
+
+void SnapshotWriter::list(std::size_t rank, const std::string &after,
+                          std::vector<StoredObject> found)
+{
+    const ListObjects request{std::string{SnapshotPrefix}, after, SnapshotPage};
+    m_context.call(request,
+                   [this, rank, found = std::move(found)](const PlatformResult &result) mutable {
+                       const auto *page = std::get_if<ObjectList>(&result);
+                       if (!page) {
+                           m_busy = false;
+                           return;
+                       }
+                       found.insert(found.end(), page->objects.begin(), page->objects.end());
+                       if (page->objects.size() < SnapshotPage)
+                           return onListed(rank, found);
+                       const std::string last = found.back().key;
+                       list(rank, last, std::move(found));
+                   });
+}
+
+void SnapshotWriter::onListed(std::size_t rank, const std::vector<StoredObject> &objects)
+{
+    const std::vector<StoredSnapshot> complete = completeSnapshots(objects);
+    if (!complete.empty())
+        m_newest = complete.back().revision;
+    if (complete.size() >= SnapshotsKept) {
+        m_compactTo = complete[complete.size() - SnapshotsKept].revision;
+        for (const StoredObject &object : objects) {
+            const auto key = parseSnapshotKey(object.key);
+            if (key && key->revision < m_compactTo)
+                m_oldSnapshots.push_back(object.key);
+        }
+    }
+    if (!isDue(rank)) {
+        m_busy = false;
+        return;
+    }
+    auto job = std::make_shared<Job>();
+    job->revision = m_log.revision();
+    job->shards = encodeSnapshot(m_log.snapshot());
+    writeShard(job);
+}
+
+void SnapshotWriter::writeShard(const std::shared_ptr<Job> &job)
+{
+    if (job->written == job->shards.size())
+        return writeManifest(job);
+    const CreateObject request{shardKey(job->revision, job->written), job->shards[job->written]};
+    m_context.call(request, [this, job](const PlatformResult &result) {
+        // A conflict is an earlier try's shard; the manifest's checksums tell if it differs.
+        const bool there = std::holds_alternative<Written>(result)
+                           || std::holds_alternative<WriteConflict>(result);
+        if (!there) {
+            m_busy = false;
+            return;
+        }
+        ++job->written;
+        writeShard(job);
+    });
+}
+
+void SnapshotWriter::writeManifest(const std::shared_ptr<Job> &job)
+{
+    const SnapshotManifest manifest = makeManifest(job->revision, job->shards);
+    const CreateObject request{manifestKey(job->revision), encodeManifest(manifest)};
+    m_context.call(request, [this, job](const PlatformResult &result) {
+        m_busy = false;
+        if (!std::holds_alternative<Written>(result))
+            return;
+        m_newest = std::max(m_newest, job->revision);
+        m_context.notice(Severity::Info, Part::Config,
+                         "Wrote a snapshot of revision " + std::to_string(job->revision.value())
+                             + " in " + std::to_string(job->shards.size()) + " parts");
+    });
+}
+
+void SnapshotWriter::compact()
+{
+    if (!m_oldSnapshots.empty()) {
+        const std::size_t count = std::min<std::size_t>(m_oldSnapshots.size(), DeletesPerTick);
+        auto keys = std::make_shared<std::vector<std::string>>(m_oldSnapshots.end() - count,
+                                                               m_oldSnapshots.end());
+        m_oldSnapshots.resize(m_oldSnapshots.size() - count);
+        return deleteNext(keys);
+    }
+    m_context.call(ListObjects{std::string{LogPrefix}, std::string{LogPrefix}, DeletesPerTick},
+                   [this](const PlatformResult &result) {
+                       if (const auto *page = std::get_if<ObjectList>(&result))
+                           return onOldRecords(*page);
+                       m_busy = false;
+                   });
+}
+
+void SnapshotWriter::onOldRecords(const ObjectList &list)
+{
+    auto keys = std::make_shared<std::vector<std::string>>();
+    const auto newest = (m_context.unixNow() - LeastRecordAge).time_since_epoch().count();
+    for (const StoredObject &object : list.objects) {
+        const auto revision = parseLogKey(object.key);
+        if (!revision || *revision > m_compactTo)
+            break;
+        const auto decoded = decodeRecord(object.value, object.key);
+        const auto *record = std::get_if<ChangeRecord>(&decoded);
+        if (record && record->unixSeconds > newest)
+            break;
+        keys->push_back(object.key);
+    }
+    if (keys->empty())
+        m_compactTo = Revision{};
+    deleteNext(keys);
+}
+
+void SnapshotWriter::deleteNext(const std::shared_ptr<std::vector<std::string>> &keys)
+{
+    if (keys->empty()) {
+        m_busy = false;
+        return;
+    }
+    // Oldest first: the log must never get a hole that a newer record hides.
+    const std::string key = keys->front();
+    keys->erase(keys->begin());
+    m_context.call(DeleteObject{key}, [this, keys](const PlatformResult &result) {
+        if (std::holds_alternative<PlatformFailure>(result))
+            keys->clear();
+        deleteNext(keys);
+    });
+}
+
+} // namespace baobabtrail
--- /dev/null
+++ b/src/core/config/validate.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "core/config/change.h"
+#include "core/config/finding.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+/// \file
+/// \brief Checks of a record that need no configuration.
+
+namespace baobabtrail {
+
+inline constexpr std::size_t MaxNameLength = 63;
+inline constexpr std::size_t MaxChangeIdLength = 128;
+inline constexpr std::size_t MaxCommands = 1000;
+inline constexpr std::uint32_t MaxSlots = 4096;
+inline constexpr std::uint32_t MaxWeight = 10000;
+
+/// \return What is wrong with a name of a tenant, service, target or failure domain, or nothing.
+[[nodiscard]] std::optional<std::string> checkName(std::string_view name);
+
+/// \brief Checks names, ranges and addresses of one command.
+/// \param place Where the command stands. \param findings Takes every reason against it.
+void checkCommand(const Command &command, const std::string &place, Findings &findings);
+
+/// \brief Checks the parts of a record beside its commands.
+void checkRecord(const ChangeRecord &record, Findings &findings);
+
+/// \return The tenant whose configuration \a command changes; empty for the whole system.
+[[nodiscard]] std::string tenantOf(const Command &command);
+
+} // namespace baobabtrail
--- /dev/null
+++ b/src/core/control/control_node.cpp
@@ -0,0 +1,300 @@
+#include "core/control/control_node.h"
+
+#include "core/config/config_log.h"
+#include "core/config/log_reader.h"
+#include "core/config/proposer.h"
+#include "core/control/clearance.h"
+#include "core/control/context.h"
+#include "core/control/peer_fetcher.h"
+#include "core/control/watcher.h"
+#include "core/membership/swim.h"
+#include "core/membership/watchers.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace baobabtrail {
+
+namespace {
+
+constexpr Duration PausedAfter = 2s; ///< A timer that is this late means that the process stood.
+constexpr Duration AgeCheckPeriod = 10s;
+constexpr Duration OldConfig = 60s; ///< Age of the configuration from which on the log says so.
+constexpr Duration OldConfigReportPeriod = 300s;
+
+} // namespace
+
+class ControlNode::Impl
+{
+public:
+    Impl(NodeIdentity identity, ControlSettings settings, std::uint64_t seed);
+
+    void start(TimePoint now, ControlActions &out);
+    void handle(ControlEvent &event, TimePoint now, std::chrono::sys_seconds unixNow,
+                ControlActions &out);
+    [[nodiscard]] RecordsMessage serve(const RecordsMessage &request, TimePoint now) const;
+    [[nodiscard]] DomainStatus status(TimePoint now) const;
+
+    [[nodiscard]] const ControlContext &context() const noexcept { return m_context; }
+    [[nodiscard]] const ConfigLog &log() const noexcept { return m_log; }
+    [[nodiscard]] const ConfigPtr &published() const noexcept { return m_published; }
+    [[nodiscard]] ViewPtr view() const { return std::make_shared<const View>(m_swim.view()); }
+
+private:
+    void on(ControlFromPeer &event);
+    void on(FetchResult &event) { m_context.deliver(event); }
+    void on(PlatformReply &event) { m_context.deliver(event); }
+    void on(Propose &event) { m_proposer.propose(std::move(event)); }
+    void on(AnnounceLeave &) { m_swim.announceLeave(); }
+    void on(ControlTimerExpired &) {}
+
+    void heard(const MemberUpdate &peer, std::optional<Duration> age);
+    void publish();
+    void tellOthers();
+    void tell(const Endpoint &address);
+    void reportAge();
+    void raiseConfirmed(TimePoint time);
+    [[nodiscard]] std::optional<TimePoint> confirmedAt() const;
+    [[nodiscard]] std::optional<Duration> knownAge(TimePoint now) const;
+    [[nodiscard]] Duration age(TimePoint now) const;
+
+    ControlContext m_context;
+    ConfigLog m_log;
+    LogReader m_reader;
+    Swim m_swim;
+    PeerFetcher m_fetcher;
+    Watcher m_watcher;
+    Clearance m_clearance;
+    Proposer m_proposer;
+    ConfigPtr m_published;
+    TimePoint m_startedAt{};
+    std::optional<TimePoint> m_peerConfirmedAt; ///< For the revision in force now, from peers.
+    std::optional<TimePoint> m_ageReportedAt;
+};
+
+ControlNode::Impl::Impl(NodeIdentity identity, ControlSettings settings, std::uint64_t seed)
+    : m_context(std::move(identity), std::move(settings), seed)
+    , m_reader(m_context, m_log)
+    , m_swim(
+          m_context,
+          [this](const MemberUpdate &peer, std::optional<Duration> peerAge) {
+              heard(peer, peerAge);
+          },
+          [this] { return knownAge(m_context.now()); })
+    , m_fetcher(m_context, m_log, m_reader)
+    , m_watcher(m_context, m_log, m_reader, m_swim, [this] { return age(m_context.now()); })
+    , m_clearance(m_context, m_swim)
+    , m_proposer(m_context, m_log, m_reader,
+                 [this](std::vector<QuarantineUse> uses, Proposer::Cleared done) {
+                     m_clearance.check(std::move(uses), std::move(done));
+                 })
+    , m_published(m_log.config())
+{
+}
+
+void ControlNode::Impl::start(TimePoint now, ControlActions &out)
+{
+    m_startedAt = now;
+    m_context.enter(now, {}, out);
+    m_context.emit(PublishConfig{m_published});
+    m_swim.start();
+    m_watcher.start();
+    m_context.after(AgeCheckPeriod, [this] { reportAge(); });
+    publish();
+    m_context.leave();
+}
+
+void ControlNode::Impl::handle(ControlEvent &event, TimePoint now, std::chrono::sys_seconds unixNow,
+                               ControlActions &out)
+{
+    m_context.enter(now, unixNow, out);
+    // After a pause every other daemon looks silent, since nobody read its answers.
+    if (m_context.lateness() > PausedAfter)
+        m_swim.onPaused();
+    std::visit([this](auto &typed) { on(typed); }, event);
+    m_context.runDueTimers();
+    publish();
+    m_context.leave();
+}
+
+void ControlNode::Impl::on(ControlFromPeer &event)
+{
+    if (const auto *notice = std::get_if<RevisionNotice>(&event.datagram.body)) {
+        m_swim.raiseRevision(event.datagram.from, notice->revision);
+        m_fetcher.heard(notice->revision, notice->records);
+        return;
+    }
+    m_swim.receive(event.datagram, event.address);
+}
+
+void ControlNode::Impl::heard(const MemberUpdate &peer, std::optional<Duration> peerAge)
+{
+    m_fetcher.heard(peer.revision, peer.records);
+    if (peerAge && peer.revision == m_log.revision())
+        raiseConfirmed(m_context.now() - *peerAge);
+}
+
+void ControlNode::Impl::publish()
+{
+    const bool advanced = m_log.revision() > m_published->revision;
+    if (advanced) {
+        m_published = m_log.config();
+        m_context.emit(PublishConfig{m_published});
+        m_swim.setRevision(m_published->revision);
+        tellOthers();
+    }
+    if (m_swim.takeChanged())
+        m_context.emit(PublishView{view()});
+}
+
+// Random peers spread the news in the domain, its watchers learn who has it, and one daemon of
+// every other domain carries it over a cut between that domain and the platform.
+void ControlNode::Impl::tellOthers()
+{
+    const Revision revision = m_published->revision;
+    const View view = m_swim.view();
+    std::vector<Endpoint> behind;
+    for (const MemberUpdate *peer : m_swim.peers()) {
+        if (peer->revision < revision)
+            behind.push_back(peer->address);
+    }
+    for (std::size_t i = 0; i < m_context.settings().noticeFanOut && !behind.empty(); ++i) {
+        const std::size_t index = m_context.pick(behind.size());
+        tell(behind[index]);
+        behind.erase(behind.begin() + static_cast<std::ptrdiff_t>(index));
+    }
+
+    const std::size_t count = m_context.settings().watchersPerDomain;
+    const std::vector<const Member *> watchers = watchersOf(view.domain, view.members, count);
+    for (const Member *watcher : watchers) {
+        if (watcher->id != view.self)
+            tell(watcher->address);
+    }
+
+    const bool isWatcher = std::any_of(watchers.begin(), watchers.end(), [&](const Member *member) {
+        return member->id == view.self;
+    });
+    const bool isAuthor = m_proposer.lastWritten() == revision;
+    if (!isWatcher && !isAuthor)
+        return;
+    for (const auto &[domain, members] : view.remote)
+        tell(members[m_context.pick(members.size())].address);
+}
+
+void ControlNode::Impl::tell(const Endpoint &address)
+{
+    m_context.send(address, RevisionNotice{m_published->revision, m_context.identity().records});
+}
+
+void ControlNode::Impl::raiseConfirmed(TimePoint time)
+{
+    m_peerConfirmedAt = m_peerConfirmedAt ? std::max(*m_peerConfirmedAt, time) : time;
+}
+
+std::optional<TimePoint> ControlNode::Impl::confirmedAt() const
+{
+    const auto own = m_reader.confirmedAt();
+    if (!own || !m_peerConfirmedAt)
+        return own ? own : m_peerConfirmedAt;
+    return std::max(*own, *m_peerConfirmedAt);
+}
+
+std::optional<Duration> ControlNode::Impl::knownAge(TimePoint now) const
+{
+    const auto confirmed = confirmedAt();
+    if (!confirmed)
+        return std::nullopt;
+    return std::max(now - *confirmed, Duration{0});
+}
+
+Duration ControlNode::Impl::age(TimePoint now) const
+{
+    return knownAge(now).value_or(now - m_startedAt);
+}
+
+void ControlNode::Impl::reportAge()
+{
+    m_context.after(AgeCheckPeriod, [this] { reportAge(); });
+    const TimePoint now = m_context.now();
+    if (age(now) < OldConfig) {
+        if (std::exchange(m_ageReportedAt, std::nullopt))
+            m_context.notice(Severity::Info, Part::Distribution,
+                             "The configuration is known to be the newest again");
+        return;
+    }
+    if (m_ageReportedAt && now - *m_ageReportedAt < OldConfigReportPeriod)
+        return;
+    m_ageReportedAt = now;
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(age(now));
+    m_context.notice(Severity::Warning, Part::Distribution,
+                     "Cut off from the platform: serving on revision "
+                         + std::to_string(m_published->revision.value()) + ", last confirmed "
+                         + std::to_string(seconds.count()) + " s ago");
+}
+
+RecordsMessage ControlNode::Impl::serve(const RecordsMessage &request, TimePoint now) const
+{
+    if (const auto *fetch = std::get_if<FetchRecords>(&request))
+        return m_log.serve(*fetch);
+    return status(now);
+}
+
+DomainStatus ControlNode::Impl::status(TimePoint now) const
+{
+    DomainStatus status;
+    status.domain = m_context.identity().domain;
+    status.revision = m_published->revision;
+    status.members = m_swim.statusMembers();
+    status.configAge = age(now);
+    return status;
+}
+
+ControlNode::ControlNode(NodeIdentity identity, ControlSettings settings, std::uint64_t seed)
+    : m_impl(std::make_unique<Impl>(std::move(identity), std::move(settings), seed))
+{
+}
+
+ControlNode::~ControlNode() = default;
+
+void ControlNode::start(TimePoint now, ControlActions &out)
+{
+    m_impl->start(now, out);
+}
+
+void ControlNode::handle(ControlEvent event, TimePoint now, std::chrono::sys_seconds unixNow,
+                         ControlActions &out)
+{
+    m_impl->handle(event, now, unixNow, out);
+}
+
+std::optional<TimePoint> ControlNode::nextTimer() const
+{
+    return m_impl->context().nextTimer();
+}
+
+RecordsMessage ControlNode::serve(const RecordsMessage &request, TimePoint now) const
+{
+    return m_impl->serve(request, now);
+}
+
+ConfigPtr ControlNode::config() const noexcept
+{
+    return m_impl->published();
+}
+
+ViewPtr ControlNode::view() const noexcept
+{
+    return m_impl->view();
+}
+
+DomainStatus ControlNode::status(TimePoint now) const
+{
+    return m_impl->status(now);
+}
+
+std::vector<ChangeRecord> ControlNode::recentChanges() const
+{
+    return m_impl->log().keptRecords();
+}
+
+} // namespace baobabtrail
--- /dev/null
+++ b/src/core/control/watcher.cpp
@@ -0,0 +1,223 @@
+#include "core/control/watcher.h"
+
+#include "core/config/log_keys.h"
+#include "core/impl/hash.h"
+#include "core/membership/watchers.h"
+
+#include <algorithm>
+
+namespace baobabtrail {
+
+namespace {
+
+constexpr Duration RolePeriod = 1s; ///< How often a daemon looks whether it became a watcher.
+constexpr Duration WatchGrace = 1s; ///< A watch may be this much later than a list.
+constexpr Duration ShortWatch = 200ms;
+constexpr int SeldomFactor = 6;    ///< Daemons that need not call do so this much less often.
+constexpr int RemoteFactor = 12;   ///< The same for comparing revisions across domains.
+constexpr int OldConfigFactor = 3; ///< Periods without confirmation that make one ask itself.
+
+} // namespace
+
+Watcher::Watcher(ControlContext &context, ConfigLog &log, LogReader &reader, Swim &swim, Age age)
+    : m_context(context)
+    , m_log(log)
+    , m_reader(reader)
+    , m_swim(swim)
+    , m_age(std::move(age))
+    , m_snapshots(context, log)
+{
+}
+
+void Watcher::start()
+{
+    readAtStart();
+    pollVms();
+    m_context.after(withJitter(m_context.random(), RolePeriod), [this] { startWatch(); });
+    m_context.after(withJitter(m_context.random(), m_context.settings().antiEntropyPeriod),
+                    [this] { listPeriodically(); });
+    m_context.after(withJitter(m_context.random(), m_context.settings().antiEntropyPeriod),
+                    [this] { compareWithRemote(); });
+    m_context.after(withJitter(m_context.random(), m_context.settings().vmListPeriod),
+                    [this] { snapshotPeriodically(); });
+}
+
+std::optional<std::size_t> Watcher::rank() const
+{
+    const View view = m_swim.view();
+    return watcherRank(view.domain, view.members, m_context.settings().watchersPerDomain,
+                       view.self);
+}
+
+// Every daemon reads the log once for itself, unless its peers give it state first: a restarted
+// domain would otherwise wait for watchers that have yet to find each other.
+void Watcher::readAtStart()
+{
+    m_reader.catchUp([this](const LogReadResult &result) {
+        if (const auto *done = std::get_if<LogReadDone>(&result)) {
+            m_version = std::max(m_version, done->latest);
+            return;
+        }
+        if (!m_log.revision().isNull() && !rank())
+            return;
+        const auto *failure = std::get_if<LogUnreachable>(&result);
+        const Duration atLeast = failure ? failure->retryAfter : Duration{0};
+        m_context.after(m_startBackoff.next(m_context.random(), atLeast),
+                        [this] { readAtStart(); });
+    });
+}
+
+void Watcher::startWatch()
+{
+    if (m_watching)
+        return;
+    // Without a version to begin behind, a watch would return the whole log.
+    if (!rank() || m_version.isNull()) {
+        m_context.after(RolePeriod, [this] { startWatch(); });
+        return;
+    }
+    m_watching = true;
+    const std::uint64_t epoch = ++m_watchEpoch;
+    const WatchObjects request{std::string{LogPrefix}, m_version, m_context.settings().watchWait};
+    m_context.call(request,
+                   [this, epoch, startedAt = m_context.now()](const PlatformResult &result) {
+                       onWatch(epoch, startedAt, result);
+                   });
+}
+
+void Watcher::onWatch(std::uint64_t epoch, TimePoint startedAt, const PlatformResult &result)
+{
+    if (epoch != m_watchEpoch)
+        return; // Given up as silent; another one has taken its place.
+    m_watching = false;
+    ++m_watchReplies;
+    if (const auto *list = std::get_if<ObjectList>(&result))
+        return onWatched(*list, startedAt);
+    const auto *failure = std::get_if<PlatformFailure>(&result);
+    const Duration atLeast = failure ? failure->retryAfter : Duration{0};
+    m_context.after(m_watchBackoff.next(m_context.random(), atLeast), [this] { startWatch(); });
+}
+
+void Watcher::onWatched(const ObjectList &list, TimePoint startedAt)
+{
+    m_watchBackoff.reset();
+    m_version = std::max(m_version, list.latest);
+    for (const StoredObject &object : list.objects)
+        m_version = std::max(m_version, object.version);
+    if (m_reader.take(list))
+        readLog(); // The watch skipped something.
+    // A watch that returns at once with nothing would turn into a stream of calls.
+    const bool tooShort = list.objects.empty() && m_context.now() - startedAt < ShortWatch;
+    if (tooShort)
+        m_context.after(ShortWatch, [this] { startWatch(); });
+    else
+        startWatch();
+}
+
+// A watch can die without a word, or skip an object: it then waits on while the log grows. The
+// list finds the record, and a watch that stays silent after that is replaced.
+void Watcher::checkWatch(std::uint64_t replies)
+{
+    if (!m_watching || replies != m_watchReplies)
+        return;
+    m_watching = false;
+    ++m_watchEpoch;
+    m_context.notice(Severity::Warning, Part::Platform, "A watch missed a change; watching anew");
+    startWatch();
+}
+
+void Watcher::listPeriodically()
+{
+    m_context.after(withJitter(m_context.random(), m_context.settings().antiEntropyPeriod),
+                    [this] { listPeriodically(); });
+    if (shouldRead())
+        readLog();
+}
+
+void Watcher::readLog()
+{
+    const Revision before = m_log.revision();
+    const std::uint64_t replies = m_watchReplies;
+    m_reader.catchUp([this, before, replies](const LogReadResult &result) {
+        if (const auto *failure = std::get_if<LogUnreachable>(&result)) {
+            m_readNotBefore = m_context.now() + failure->retryAfter;
+            return;
+        }
+        const auto *done = std::get_if<LogReadDone>(&result);
+        if (!done)
+            return;
+        m_version = std::max(m_version, done->latest);
+        if (m_log.revision() != before && m_watching)
+            m_context.after(WatchGrace, [this, replies] { checkWatch(replies); });
+    });
+}
+
+bool Watcher::shouldRead()
+{
+    if (m_readNotBefore && m_context.now() < *m_readNotBefore)
+        return false;
+    if (rank())
+        return true;
+    // The watchers may be cut off alone. Whoever has heard nothing for long asks itself, each
+    // with such a chance that the domain together asks as often as its watchers would.
+    const Duration period = m_context.settings().antiEntropyPeriod;
+    if (m_age() < OldConfigFactor * period)
+        return false;
+    return m_context.pick(m_swim.memberCount()) < m_context.settings().watchersPerDomain;
+}
+
+void Watcher::pollVms()
+{
+    const Duration period = m_context.settings().vmListPeriod;
+    const bool needed = rank() || !m_swim.hasPeers();
+    if (!needed && m_vmsKnown) {
+        m_context.after(withJitter(m_context.random(), period), [this] { pollVms(); });
+        return;
+    }
+    m_context.call(ListVms{}, [this, needed, period](const PlatformResult &result) {
+        if (const auto *list = std::get_if<VmList>(&result)) {
+            m_vmsKnown = true;
+            m_vmBackoff.reset();
+            m_swim.takeVmList(*list);
+            m_context.after(withJitter(m_context.random(), period), [this] { pollVms(); });
+            return;
+        }
+        const auto *failure = std::get_if<PlatformFailure>(&result);
+        Duration wait
+            = m_vmBackoff.next(m_context.random(), failure ? failure->retryAfter : Duration{0});
+        if (!needed)
+            wait = std::max(wait, withJitter(m_context.random(), period * SeldomFactor));
+        m_context.after(wait, [this] { pollVms(); });
+    });
+}
+
+// A failure domain that is cut off from the platform learns of changes from the others.
+void Watcher::compareWithRemote()
+{
+    const Duration period = m_context.settings().antiEntropyPeriod;
+    m_context.after(withJitter(m_context.random(), period), [this] { compareWithRemote(); });
+    const bool seldom = m_remoteTicks++ % RemoteFactor != 0;
+    if (rank() || !seldom)
+        m_swim.pingRemote();
+}
+
+void Watcher::snapshotPeriodically()
+{
+    m_context.after(withJitter(m_context.random(), m_context.settings().vmListPeriod),
+                    [this] { snapshotPeriodically(); });
+    if (rank() != std::optional<std::size_t>{0})
+        return;
+
+    // One failure domain writes first, another one each time; the rest stand by.
+    const View view = m_swim.view();
+    const std::uint64_t turn = m_log.revision().value() / m_context.settings().snapshotEvery;
+    const auto score = [turn](const std::string &domain) { return impl::hash64(domain, turn); };
+    std::size_t before = 0;
+    for (const auto &[domain, members] : view.remote) {
+        if (score(domain) > score(view.domain))
+            ++before;
+    }
+    m_snapshots.tick(before);
+}
+
+} // namespace baobabtrail
--- /dev/null
+++ b/src/core/control/watcher.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "core/config/log_reader.h"
+#include "core/config/snapshot_writer.h"
+#include "core/control/context.h"
+#include "core/membership/swim.h"
+
+#include <optional>
+
+namespace baobabtrail {
+
+/// \brief What a daemon does at the platform, on behalf of its failure domain where it is one of
+/// the domain's watchers, and for itself when it starts or hears nothing.
+class Watcher
+{
+public:
+    using Age = std::function<Duration()>;
+
+    /// \param age How old the configuration in force may be.
+    Watcher(ControlContext &context, ConfigLog &log, LogReader &reader, Swim &swim, Age age);
+
+    void start();
+    /// \return Place among the watchers of the domain, or nothing.
+    [[nodiscard]] std::optional<std::size_t> rank() const;
+
+private:
+    void readAtStart();
+    void startWatch();
+    void onWatch(std::uint64_t epoch, TimePoint startedAt, const PlatformResult &result);
+    void onWatched(const ObjectList &list, TimePoint startedAt);
+    void checkWatch(std::uint64_t replies);
+    void listPeriodically();
+    void readLog();
+    [[nodiscard]] bool shouldRead();
+    void pollVms();
+    void compareWithRemote();
+    void snapshotPeriodically();
+
+    ControlContext &m_context;
+    ConfigLog &m_log;
+    LogReader &m_reader;
+    Swim &m_swim;
+    Age m_age;
+    SnapshotWriter m_snapshots;
+    Backoff m_startBackoff{200ms, 3s};
+    Backoff m_watchBackoff{200ms, 3s};
+    Backoff m_vmBackoff{1s, 10s};
+    ObjectVersion m_version; ///< Newest that a list or watch has shown.
+    std::uint64_t m_watchEpoch = 0;
+    std::uint64_t m_watchReplies = 0;
+    std::optional<TimePoint> m_readNotBefore;
+    bool m_watching = false;
+    bool m_vmsKnown = false;
+    std::uint64_t m_remoteTicks = 0;
+};
+
+} // namespace baobabtrail
--- /dev/null
+++ b/src/core/membership/remote_members.cpp
@@ -0,0 +1,169 @@
+#include "core/membership/remote_members.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace baobabtrail {
+
+namespace {
+
+constexpr Duration DeadKept = 60s;
+constexpr Duration HeardRecently = 90s; ///< A daemon that spoke since then is not dead.
+constexpr std::size_t MaxEntries = 8192;
+
+} // namespace
+
+bool RemoteMembers::setState(Entry &entry, MemberState state, TimePoint now)
+{
+    if (entry.update.state == state)
+        return false;
+    entry.update.state = state;
+    entry.changedAt = now;
+    m_changed = true;
+    return true;
+}
+
+std::vector<DaemonId> RemoteMembers::takeVmList(const std::vector<VmEntry> &vms,
+                                                const std::string &ownDomain, TimePoint now)
+{
+    std::vector<DaemonId> news;
+    for (auto &[id, entry] : m_entries)
+        entry.listed = false;
+
+    for (const VmEntry &vm : vms) {
+        if (vm.domain == ownDomain)
+            continue;
+        const auto [position, added] = m_entries.try_emplace(vm.daemon);
+        Entry &entry = position->second;
+        entry.listed = true;
+        MemberUpdate &update = entry.update;
+        const bool moved = update.address != vm.address || update.records != vm.records
+                           || update.domain != vm.domain;
+        if (added || moved) {
+            update.daemon = vm.daemon;
+            update.address = vm.address;
+            update.records = vm.records;
+            update.domain = vm.domain;
+            entry.changedAt = now;
+            m_changed = true;
+        }
+        const MemberState state = vm.leaving ? MemberState::Leaving : MemberState::Alive;
+        if (setState(entry, state, now) || added || moved)
+            news.push_back(vm.daemon);
+    }
+
+    for (auto &[id, entry] : m_entries) {
+        // The list lags: a daemon that answers is there, listed or not.
+        if (entry.listed || (entry.heard && now - entry.heardAt < HeardRecently))
+            continue;
+        if (setState(entry, MemberState::Dead, now))
+            news.push_back(id);
+    }
+    if (!std::exchange(m_listed, true))
+        news.clear();
+    return news;
+}
+
+bool RemoteMembers::takeRumor(const MemberUpdate &update, TimePoint now)
+{
+    const auto known = m_entries.find(update.daemon);
+    if (known == m_entries.end()) {
+        if (update.state == MemberState::Dead || m_entries.size() >= MaxEntries)
+            return false;
+        m_entries.emplace(update.daemon, Entry{update, now, {}, false, false});
+        m_changed = true;
+        return true;
+    }
+
+    Entry &entry = known->second;
+    if (update.incarnation < entry.update.incarnation)
+        return false;
+    const bool restarted = update.incarnation > entry.update.incarnation;
+    if (!restarted) {
+        entry.update.revision = std::max(entry.update.revision, update.revision);
+        // Where two rumors of one process differ, the one further on in its life is the newer.
+        const auto rank = [](MemberState state) {
+            return state == MemberState::Dead ? 2 : state == MemberState::Leaving ? 1 : 0;
+        };
+        if (rank(update.state) <= rank(entry.update.state))
+            return false;
+        const bool speaks = entry.heard && now - entry.heardAt < HeardRecently;
+        if (update.state == MemberState::Dead && speaks)
+            return false;
+        return setState(entry, update.state, now);
+    }
+    entry.update = update;
+    entry.changedAt = now;
+    m_changed = true;
+    return true;
+}
+
+bool RemoteMembers::takeDirect(const MemberUpdate &update, TimePoint now)
+{
+    const auto [position, added] = m_entries.try_emplace(update.daemon);
+    Entry &entry = position->second;
+    if (!added && update.incarnation < entry.update.incarnation)
+        return false;
+    const MemberUpdate before = entry.update;
+    entry.update = update;
+    entry.heardAt = now;
+    entry.heard = true;
+    if (before.incarnation == update.incarnation)
+        entry.update.revision = std::max(before.revision, update.revision);
+    const bool news = added || before.state != update.state || before.address != update.address
+                      || before.records != update.records || before.domain != update.domain;
+    if (news) {
+        entry.changedAt = now;
+        m_changed = true;
+    }
+    return news;
+}
+
+void RemoteMembers::raiseRevision(DaemonId id, Revision revision)
+{
+    const auto known = m_entries.find(id);
+    if (known != m_entries.end())
+        known->second.update.revision = std::max(known->second.update.revision, revision);
+}
+
+void RemoteMembers::forgetDead(TimePoint now)
+{
+    std::erase_if(m_entries, [&](const auto &item) {
+        const Entry &entry = item.second;
+        return entry.update.state == MemberState::Dead && now - entry.changedAt > DeadKept;
+    });
+}
+
+const MemberUpdate *RemoteMembers::find(DaemonId id) const
+{
+    const auto known = m_entries.find(id);
+    return known == m_entries.end() ? nullptr : &known->second.update;
+}
+
+std::vector<const MemberUpdate *> RemoteMembers::present() const
+{
+    std::vector<const MemberUpdate *> result;
+    for (const auto &[id, entry] : m_entries) {
+        if (entry.update.state != MemberState::Dead)
+            result.push_back(&entry.update);
+    }
+    return result;
+}
+
+std::map<std::string, std::vector<Member>> RemoteMembers::byDomain() const
+{
+    std::map<std::string, std::vector<Member>> result;
+    for (const MemberUpdate *update : present()) {
+        result[update->domain].push_back({update->daemon, update->incarnation, update->address,
+                                          update->records, update->domain, update->state,
+                                          update->revision});
+    }
+    return result;
+}
+
+bool RemoteMembers::takeChanged() noexcept
+{
+    return std::exchange(m_changed, false);
+}
+
+} // namespace baobabtrail
--- /dev/null
+++ b/src/core/membership/swim.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "core/control/context.h"
+#include "core/membership/member_table.h"
+#include "core/membership/remote_members.h"
+#include "core/membership/rumors.h"
+#include "core/membership/view.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace baobabtrail {
+
+/// \brief Membership of the failure domain by SWIM: random pings, indirect pings, suspicion before
+/// removal, refutation, and news that rides on pings.
+///
+/// Each daemon sends one ping in a period whatever the size of its domain, so the cost is constant
+/// and the time to detect a death hardly grows. Nothing that must hold rests on the result.
+class Swim
+{
+public:
+    /// \brief Called with what a daemon said of itself, and the age of its configuration.
+    using Heard = std::function<void(const MemberUpdate &, std::optional<Duration>)>;
+    using Age = std::function<std::optional<Duration>()>;
+
+    Swim(ControlContext &context, Heard heard, Age configAge);
+
+    void start();
+    void receive(const PeerDatagram &datagram, const Endpoint &from);
+    void takeVmList(const VmList &list);
+    /// \brief Takes what a peer answered to FetchStatus.
+    void takeStatus(const DomainStatus &status);
+    void announceLeave();
+    /// \brief After a pause of this process: what it waited for says nothing of the others.
+    void onPaused();
+
+    void setRevision(Revision revision);
+    void raiseRevision(DaemonId id, Revision revision);
+    /// \brief Pings a daemon of another failure domain to compare revisions.
+    void pingRemote();
+
+    [[nodiscard]] View view() const;
+    /// \return Whether anything but revisions changed since the last call.
+    [[nodiscard]] bool takeChanged();
+    [[nodiscard]] std::vector<MemberUpdate> statusMembers() const;
+    [[nodiscard]] bool hasPeers() const;
+    [[nodiscard]] std::size_t memberCount() const;
+    [[nodiscard]] bool isLeaving() const noexcept { return m_self.state == MemberState::Leaving; }
+    /// \return Other daemons of the domain that are believed alive.
+    [[nodiscard]] std::vector<const MemberUpdate *> peers() const;
+    [[nodiscard]] const RemoteMembers &remote() const noexcept { return m_remote; }
+
+private:
+    /// \brief A ping that waits for its acknowledgement.
+    struct Pending
+    {
+        DaemonId member;
+        TimePoint sentAt;
+    };
+    /// \brief A ping made on behalf of another daemon.
+    struct Relay
+    {
+        Endpoint requester;
+        std::uint64_t sequence = 0;
+    };
+    struct Candidate
+    {
+        VmEntry vm;
+        std::uint32_t tries = 0;
+    };
+
+    void tick();
+    void pingNext();
+    void pingCandidate();
+    void pingLost();
+    void pingSeed();
+    void pingMember(const MemberUpdate &member);
+    void sendPing(const Endpoint &address, std::uint64_t sequence, DaemonId recipient);
+    void pingIndirectly(std::uint64_t sequence);
+    void onPingFailed(std::uint64_t sequence);
+    void suspect(MemberEntry &entry, TimePoint since);
+    void scheduleRemoval(const MemberEntry &entry);
+    void removeIfStillSuspect(DaemonId id);
+
+    void on(const Ping &ping, const PeerDatagram &datagram, const Endpoint &from);
+    void on(const IndirectPing &ping, const PeerDatagram &datagram, const Endpoint &from);
+    void on(const PingAck &ack, const PeerDatagram &datagram, const Endpoint &from);
+
+    void takeUpdates(const std::vector<MemberUpdate> &updates, DaemonId sender,
+                     std::optional<Duration> age);
+    void takeDirect(const MemberUpdate &update, std::optional<Duration> age);
+    void takeRumor(const MemberUpdate &update, bool passOn);
+    void takeNewsOfSelf(const MemberUpdate &update);
+    void refute(std::uint32_t version);
+    void askForMembers(const MemberUpdate &peer);
+    [[nodiscard]] std::vector<MemberUpdate> updatesFor(DaemonId recipient);
+    [[nodiscard]] const MemberUpdate *lookUp(DaemonId id);
+    void addFill(std::vector<MemberUpdate> &updates);
+
+    ControlContext &m_context;
+    Heard m_heard;
+    Age m_configAge;
+    MemberUpdate m_self;
+    MemberTable m_table;
+    RemoteMembers m_remote;
+    RumorQueue m_rumors;
+    std::map<DaemonId, Candidate> m_candidates; ///< Listed VMs that never answered.
+    std::map<std::uint64_t, Pending> m_pending;
+    std::map<std::uint64_t, Relay> m_relays;
+    std::vector<DaemonId> m_round; ///< Whom to ping next, from the back.
+    std::uint64_t m_sequence = 0;
+    std::uint64_t m_ticks = 0;
+    std::size_t m_nextRemoteDomain = 0;
+    std::optional<TimePoint> m_leavingHintRefutedAt;
+    bool m_membersKnown = false; ///< Whether a peer told all that it knows.
+    bool m_askingForMembers = false;
+    bool m_changed = true;
+};
+
+} // namespace baobabtrail
--- /dev/null
+++ b/src/core/membership/swim_news.cpp
@@ -0,0 +1,233 @@
+// What daemons tell each other of members: the half of Swim that takes and makes updates.
+
+#include "core/membership/swim.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace baobabtrail {
+
+namespace {
+
+constexpr std::size_t MaxUpdates = 8; ///< On one ping, the sender's own included.
+constexpr Duration LeavingHintPatience = 60s;
+
+} // namespace
+
+void Swim::takeUpdates(const std::vector<MemberUpdate> &updates, DaemonId sender,
+                       std::optional<Duration> age)
+{
+    for (const MemberUpdate &update : updates) {
+        if (update.daemon == m_self.daemon)
+            takeNewsOfSelf(update);
+        else if (update.daemon == sender)
+            takeDirect(update, age);
+        else
+            takeRumor(update, true);
+    }
+}
+
+void Swim::takeDirect(const MemberUpdate &update, std::optional<Duration> age)
+{
+    if (update.domain != m_self.domain) {
+        if (m_remote.takeDirect(update, m_context.now()))
+            m_rumors.add(update.daemon);
+        m_heard(update, age);
+        return;
+    }
+    takeRumor(update, true);
+    if (MemberEntry *entry = m_table.find(update.daemon)) {
+        entry->heardAt = m_context.now();
+        askForMembers(update);
+    }
+    m_heard(update, age);
+}
+
+void Swim::takeRumor(const MemberUpdate &update, bool passOn)
+{
+    if (update.domain != m_self.domain) {
+        if (m_remote.takeRumor(update, m_context.now()) && passOn)
+            m_rumors.add(update.daemon);
+        return;
+    }
+    // Death of a daemon that is not known here is no news: it would only be kept for long.
+    if (update.state == MemberState::Dead && !m_table.find(update.daemon))
+        return;
+    if (m_table.merge(update, m_context.now()) == MemberTable::Merge::Unchanged)
+        return;
+    m_candidates.erase(update.daemon);
+    m_changed = true;
+    if (passOn)
+        m_rumors.add(update.daemon);
+    if (update.state != MemberState::Suspect)
+        return;
+    MemberEntry &entry = *m_table.find(update.daemon);
+    entry.suspectUntil = m_context.now() + m_context.settings().suspicion;
+    scheduleRemoval(entry);
+}
+
+void Swim::takeNewsOfSelf(const MemberUpdate &update)
+{
+    if (update.incarnation > m_self.incarnation) {
+        m_context.notice(Severity::Error, Part::Membership,
+                         "Another daemon runs under this daemon's id");
+        return;
+    }
+    if (update.incarnation < m_self.incarnation || update.version < m_self.version)
+        return;
+    const bool wrong = update.state == MemberState::Suspect || update.state == MemberState::Dead;
+    if (wrong)
+        return refute(update.version);
+    if (update.state != MemberState::Leaving || isLeaving())
+        return;
+    // The VM list says that this VM leaves. It lags, so the hint may be wrong: it is obeyed for a
+    // while and refuted then; were it refuted at once, the two would take turns forever.
+    const TimePoint now = m_context.now();
+    if (!m_leavingHintRefutedAt)
+        m_leavingHintRefutedAt = now;
+    if (now - *m_leavingHintRefutedAt < LeavingHintPatience)
+        return;
+    m_leavingHintRefutedAt = now;
+    refute(update.version);
+}
+
+void Swim::refute(std::uint32_t version)
+{
+    m_self.version = version + 1;
+}
+
+// A daemon that has just started knows nobody: one answer with all members is far cheaper than
+// hearing of each on pings.
+void Swim::askForMembers(const MemberUpdate &peer)
+{
+    if (m_membersKnown || m_askingForMembers)
+        return;
+    m_askingForMembers = true;
+    m_context.fetch(peer.records, FetchStatus{}, [this](const auto &message) {
+        m_askingForMembers = false;
+        const auto *status = message ? std::get_if<DomainStatus>(&*message) : nullptr;
+        if (!status)
+            return;
+        m_membersKnown = true;
+        takeStatus(*status);
+    });
+}
+
+void Swim::takeStatus(const DomainStatus &status)
+{
+    for (const MemberUpdate &update : status.members) {
+        if (update.daemon != m_self.daemon)
+            takeRumor(update, false);
+    }
+}
+
+void Swim::takeVmList(const VmList &list)
+{
+    for (const DaemonId id : m_remote.takeVmList(list.vms, m_self.domain, m_context.now()))
+        m_rumors.add(id);
+
+    std::map<DaemonId, Candidate> candidates;
+    for (const VmEntry &vm : list.vms) {
+        if (vm.domain != m_self.domain || vm.daemon == m_self.daemon)
+            continue;
+        const MemberEntry *entry = m_table.find(vm.daemon);
+        if (!entry) {
+            const auto known = m_candidates.find(vm.daemon);
+            candidates[vm.daemon] = {vm, known == m_candidates.end() ? 0 : known->second.tries};
+            continue;
+        }
+        if (!vm.leaving || entry->update.state != MemberState::Alive)
+            continue;
+        MemberUpdate hint = entry->update;
+        hint.state = MemberState::Leaving;
+        takeRumor(hint, true);
+    }
+    m_candidates = std::move(candidates);
+}
+
+std::vector<MemberUpdate> Swim::updatesFor(DaemonId recipient)
+{
+    std::vector<MemberUpdate> updates{m_self};
+    if (m_remote.find(recipient))
+        return updates;
+    // Whoever is wrongly believed dead or suspect has to hear of it to refute it.
+    const MemberEntry *entry = m_table.find(recipient);
+    if (entry && entry->update.state != MemberState::Alive)
+        updates.push_back(entry->update);
+    const std::size_t room = MaxUpdates - updates.size();
+    for (const DaemonId id : m_rumors.take(room, memberCount())) {
+        const MemberUpdate *update = lookUp(id);
+        if (update && id != recipient)
+            updates.push_back(*update);
+    }
+    if (updates.size() < MaxUpdates)
+        addFill(updates);
+    return updates;
+}
+
+// Rumors can miss a daemon. One entry at random on each ping makes views equal again in time.
+void Swim::addFill(std::vector<MemberUpdate> &updates)
+{
+    const std::vector<const MemberEntry *> members = m_table.present();
+    const std::vector<const MemberUpdate *> remote = m_remote.present();
+    if (members.empty() && remote.empty())
+        return;
+    const std::size_t index = m_context.pick(members.size() + remote.size());
+    updates.push_back(index < members.size() ? members[index]->update
+                                             : *remote[index - members.size()]);
+}
+
+const MemberUpdate *Swim::lookUp(DaemonId id)
+{
+    if (const MemberEntry *entry = m_table.find(id))
+        return &entry->update;
+    return m_remote.find(id);
+}
+
+View Swim::view() const
+{
+    View view;
+    view.self = m_self.daemon;
+    view.domain = m_self.domain;
+    view.members.push_back(toMember(m_self));
+    for (const MemberEntry *entry : m_table.present())
+        view.members.push_back(toMember(entry->update));
+    std::sort(view.members.begin(), view.members.end(),
+              [](const Member &a, const Member &b) { return a.id < b.id; });
+    view.remote = m_remote.byDomain();
+    return view;
+}
+
+bool Swim::takeChanged()
+{
+    const bool remoteChanged = m_remote.takeChanged();
+    return std::exchange(m_changed, false) || remoteChanged;
+}
+
+std::vector<MemberUpdate> Swim::statusMembers() const
+{
+    std::vector<MemberUpdate> members{m_self};
+    for (const MemberEntry *entry : m_table.present())
+        members.push_back(entry->update);
+    return members;
+}
+
+bool Swim::hasPeers() const
+{
+    return memberCount() > 1;
+}
+
+std::size_t Swim::memberCount() const
+{
+    return m_table.present().size() + 1;
+}
+
+std::vector<const MemberUpdate *> Swim::peers() const
+{
+    std::vector<const MemberUpdate *> result;
+    for (const MemberEntry *entry : m_table.present())
+        result.push_back(&entry->update);
+    return result;
+}
+
+} // namespace baobabtrail
