--- a/src/core/config/impl/json_fields.cpp
+++ b/src/core/config/impl/json_fields.cpp
@@ -2,9 +2,14 @@
 
 #include "core/impl/hash.h"
 
+#include <boost/algorithm/hex.hpp>
+#include <boost/endian/conversion.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <array>
+#include <cstring>
+#include <iterator>
 #include <limits>
 
 namespace baobabtrail::impl {
@@ -105,13 +110,11 @@
 
 std::string checksum(std::string_view text)
 {
-    constexpr std::string_view Digits = "0123456789abcdef";
-    std::uint64_t hash = hash64(text);
-    std::string result(16, '0');
-    for (auto digit = result.rbegin(); digit != result.rend(); ++digit) {
-        *digit = Digits[hash & 0xF];
-        hash >>= 4;
-    }
+    std::array<unsigned char, 8> bytes{};
+    const std::uint64_t hash = boost::endian::native_to_big(hash64(text));
+    std::memcpy(bytes.data(), &hash, sizeof hash);
+    std::string result;
+    boost::algorithm::hex_lower(bytes.begin(), bytes.end(), std::back_inserter(result));
     return result;
 }
 
--- a/src/core/config/record_codec.cpp
+++ b/src/core/config/record_codec.cpp
@@ -282,8 +282,10 @@
     record.unixSeconds = fields.seconds("time");
     record.quarantineSeconds = fields.seconds("quarantine");
     for (const json::value &command : fields.array("commands")) {
-        const std::string number = std::to_string(record.commands.size() + 1);
-        record.commands.push_back(readCommand(command, place + ": command " + number));
+        std::string commandPlace = place;
+        commandPlace += ": command ";
+        commandPlace += std::to_string(record.commands.size() + 1);
+        record.commands.push_back(readCommand(command, commandPlace));
     }
     return record;
 }
--- a/src/core/config/snapshot_writer.cpp
+++ b/src/core/config/snapshot_writer.cpp
@@ -118,10 +118,11 @@
 void SnapshotWriter::compact()
 {
     if (!m_oldSnapshots.empty()) {
-        const std::size_t count = std::min<std::size_t>(m_oldSnapshots.size(), DeletesPerTick);
-        auto keys = std::make_shared<std::vector<std::string>>(m_oldSnapshots.end() - count,
-                                                               m_oldSnapshots.end());
-        m_oldSnapshots.resize(m_oldSnapshots.size() - count);
+        auto keys = std::make_shared<std::vector<std::string>>();
+        while (!m_oldSnapshots.empty() && keys->size() < DeletesPerTick) {
+            keys->push_back(std::move(m_oldSnapshots.back()));
+            m_oldSnapshots.pop_back();
+        }
         return deleteNext(keys);
     }
     m_context.call(ListObjects{std::string{LogPrefix}, std::string{LogPrefix}, DeletesPerTick},
--- /dev/null
+++ b/tests/control/accept_test.cpp
@@ -0,0 +1,265 @@
+#include "core/config/log_keys.h"
+#include "support/change_builder.h"
+#include "support/fake_control_net.h"
+
+#include <criterion/criterion.h>
+
+using namespace baobabtrail;
+using namespace baobabtrail::test;
+
+namespace {
+
+const TargetName T1 = targetName("lending", "t1");
+constexpr std::size_t Proposer = 4;
+
+/// \brief Three failure domains of three daemons with one change in force.
+struct Cluster : FakeControlNet
+{
+    explicit Cluster(std::uint64_t seed = 1)
+        : FakeControlNet(seed)
+    {
+        for (const char *domain : {"alx-raml", "alx-smouha", "alx-agami"}) {
+            for (int i = 0; i < 3; ++i)
+                add(domain);
+        }
+        startAll();
+        run(5s);
+        propose(0, declaration());
+        run(5s);
+        cr_assert(everywhere(Revision{1}));
+    }
+
+    template <typename Outcome>
+    [[nodiscard]] const Outcome *get(ProposalId id) const
+    {
+        const ProposalOutcome *found = outcome(id);
+        return found ? std::get_if<Outcome>(found) : nullptr;
+    }
+};
+
+[[nodiscard]] ChangeRecord weightChange(const std::string &id, std::uint32_t weight)
+{
+    return change(id, {SetWeight{T1, weight}});
+}
+
+void expectNoViolations(const FakeControlNet &net, const std::string &cell)
+{
+    for (const std::string &violation : net.violations())
+        cr_expect(false, "%s: %s", cell.c_str(), violation.c_str());
+}
+
+/// \brief Asks for the change once more at another daemon, as an operator does who got no answer,
+/// and checks that it is in force everywhere, once.
+void askAgainAndExpectInForce(Cluster &net, const std::string &id, const std::string &cell)
+{
+    const ProposalId again = net.propose(7, weightChange(id, 50));
+    cr_expect(net.runUntil([&] { return net.outcome(again) != nullptr; }, 10s), "%s: no outcome",
+              cell.c_str());
+    const auto *accepted = net.get<ProposalAccepted>(again);
+    cr_expect(accepted != nullptr, "%s: not accepted in the end", cell.c_str());
+    net.run(15s);
+    cr_expect(accepted && net.everywhere(accepted->revision), "%s: not in force everywhere",
+              cell.c_str());
+    expectNoViolations(net, cell);
+}
+
+struct FaultName
+{
+    PlatformFault fault;
+    const char *name;
+};
+constexpr std::array<FaultName, 5> CallFaults{{{PlatformFault::Down, "down"},
+                                               {PlatformFault::Slow, "slow"},
+                                               {PlatformFault::RateLimited, "rate-limited"},
+                                               {PlatformFault::ReplyLost, "reply lost"},
+                                               {PlatformFault::WriteDelayed, "write delayed"}}};
+constexpr std::array<std::pair<CallKind, const char *>, 3> AcceptSteps{
+    {{CallKind::List, "reading the log"},
+     {CallKind::Create, "creating the record"},
+     {CallKind::Read, "reading it back"}}};
+
+} // namespace
+
+Test(accept, healthyChangeIsInForceWithinTwoSeconds)
+{
+    for (std::size_t proposer = 0; proposer < 9; ++proposer) {
+        Cluster net;
+        const ProposalId id = net.propose(proposer, weightChange("w", 50));
+        cr_assert(net.runUntil([&] { return net.everywhere(Revision{2}); }, 2s));
+        net.run(1s);
+        const auto *accepted = net.get<ProposalAccepted>(id);
+        cr_assert(accepted && !accepted->repeated && accepted->revision == Revision{2});
+        const ProposalId again = net.propose((proposer + 5) % 9, weightChange("w", 50));
+        net.run(1s);
+        accepted = net.get<ProposalAccepted>(again);
+        cr_assert(accepted && accepted->repeated && accepted->revision == Revision{2});
+        expectNoViolations(net, "healthy");
+    }
+}
+
+// An operator asks for a change while the platform fails in one way at one step of accepting it.
+// Each daemon's next calls of that kind meet the fault, then the platform works again. Whatever the
+// operator is told must be true; asking again with the same id must give the change, once.
+Test(accept, everyPlatformFaultAtEveryStep)
+{
+    for (const auto &[fault, faultName] : CallFaults) {
+        for (const auto &[kind, stepName] : AcceptSteps) {
+            for (const int count : {1, 2, 100}) {
+                const std::string cell
+                    = std::string{faultName} + " × " + stepName + " × " + std::to_string(count);
+                Cluster net;
+                int left = count;
+                net.fault = [&, hit = kind, how = fault](std::size_t node,
+                                                         const PlatformRequest &request) {
+                    const bool lostFirst = hit == CallKind::Read && left > 0 && node == Proposer
+                                           && kindOf(request) == CallKind::Create;
+                    if (lostFirst) // Nothing is read back unless a create got no answer.
+                        return PlatformFault::ReplyLost;
+                    if (node != Proposer || kindOf(request) != hit || left == 0)
+                        return PlatformFault::None;
+                    --left;
+                    return how;
+                };
+                const ProposalId id = net.propose(Proposer, weightChange("w", 50));
+                net.run(14s);
+                cr_expect(net.outcome(id) != nullptr, "%s: no outcome", cell.c_str());
+                cr_expect(!net.get<ProposalRefused>(id), "%s: refused", cell.c_str());
+                net.fault = nullptr;
+                askAgainAndExpectInForce(net, "w", cell);
+            }
+        }
+    }
+}
+
+// The daemon that an operator asked dies, is restarted or stands still for a while, just before or
+// just after one of its calls leaves. The operator asks another daemon with the same change id.
+Test(accept, proposerKilledRestartedOrFrozenAtEveryStep)
+{
+    enum class Blow { Kill, Restart, Freeze };
+    for (const Blow blow : {Blow::Kill, Blow::Restart, Blow::Freeze}) {
+        for (const auto &[kind, stepName] : AcceptSteps) {
+            for (const bool callLeaves : {false, true}) {
+                const std::string cell = std::to_string(static_cast<int>(blow)) + " at " + stepName
+                                         + (callLeaves ? " after" : " before");
+                Cluster net;
+                bool struck = false;
+                const auto strike = [&] {
+                    struck = true;
+                    if (blow == Blow::Freeze)
+                        net.freeze(Proposer);
+                    else
+                        net.kill(Proposer);
+                };
+                net.fault = [&, hit = kind](std::size_t node, const PlatformRequest &request) {
+                    const bool create = node == Proposer && kindOf(request) == CallKind::Create;
+                    if (hit == CallKind::Read && create)
+                        return PlatformFault::ReplyLost;
+                    if (node == Proposer && kindOf(request) == hit && callLeaves && !struck)
+                        strike();
+                    return PlatformFault::None;
+                };
+                net.observe = [&, hit = kind](std::size_t node, const ControlAction &action) {
+                    const auto *call = std::get_if<PlatformCall>(&action);
+                    if (call && node == Proposer && kindOf(call->request) == hit && !callLeaves
+                        && !struck)
+                        strike();
+                };
+                net.propose(Proposer, weightChange("w", 50));
+                net.run(12s);
+                cr_expect(struck, "%s: did not happen", cell.c_str());
+                net.fault = nullptr;
+                net.observe = nullptr;
+                const ProposalId again = net.propose(7, weightChange("w", 50));
+                net.run(3s);
+                cr_expect(net.get<ProposalAccepted>(again) != nullptr, "%s", cell.c_str());
+                if (blow == Blow::Freeze)
+                    net.thaw(Proposer);
+                if (blow == Blow::Restart)
+                    net.start(Proposer);
+                askAgainAndExpectInForce(net, "w", cell);
+            }
+        }
+    }
+}
+
+// Two operators, and then nine, ask for changes at different daemons in the same instant, all with
+// the revision that they saw. One of them gets it; the others are told whose change came first.
+Test(accept, racingOperatorsHaveOneWinnerThatLosersAreTold)
+{
+    for (const std::size_t operators : {2, 9}) {
+        Cluster net{operators};
+        std::vector<ProposalId> ids;
+        for (std::size_t i = 0; i < operators; ++i)
+            ids.push_back(net.propose(i, weightChange("op" + std::to_string(i), 10), Revision{1}));
+        net.run(5s);
+        std::size_t winner = operators;
+        for (std::size_t i = 0; i < operators; ++i) {
+            if (!net.get<ProposalAccepted>(ids[i]))
+                continue;
+            cr_assert(winner == operators, "two winners");
+            winner = i;
+        }
+        cr_assert(winner < operators, "no winner");
+        for (std::size_t i = 0; i < operators; ++i) {
+            if (i == winner)
+                continue;
+            const auto *refused = net.get<ProposalRefused>(ids[i]);
+            cr_assert(refused && refused->winner == "op" + std::to_string(winner));
+        }
+        cr_assert(net.everywhere(Revision{2}));
+        expectNoViolations(net, "race");
+    }
+}
+
+Test(accept, racingOperatorsWithoutExpectationAllGetTheirs)
+{
+    Cluster net;
+    std::vector<ProposalId> ids;
+    for (int round = 0; round < 3; ++round) {
+        for (std::size_t i = 0; i < 9; ++i)
+            ids.push_back(net.propose(
+                i, weightChange("op" + std::to_string(round) + '-' + std::to_string(i), 10)));
+    }
+    net.run(5s);
+    for (const ProposalId id : ids)
+        cr_assert(net.get<ProposalAccepted>(id) != nullptr);
+    cr_assert(net.everywhere(Revision{28}));
+    expectNoViolations(net, "race");
+}
+
+// Two daemons are asked for one change with one id, as by an operator whose tool tries again
+// elsewhere while the first try is still under way.
+Test(accept, oneChangeAskedTwiceAtOnceIsInTheLogOnce)
+{
+    Cluster net;
+    const ProposalId first = net.propose(1, weightChange("w", 50));
+    const ProposalId second = net.propose(5, weightChange("w", 50));
+    net.run(2s);
+    const auto *a = net.get<ProposalAccepted>(first);
+    const auto *b = net.get<ProposalAccepted>(second);
+    cr_assert(a && b && a->revision == b->revision);
+    expectNoViolations(net, "twice at once");
+}
+
+Test(accept, refusalsAndPreviewsChangeNothing)
+{
+    Cluster net;
+    const ProposalId wrong = net.propose(2, change("x", {UndrainTarget{T1}, DrainTarget{{}}}));
+    const ProposalId dry = net.propose(2, change("y", {DrainTarget{T1}}), Revision{1}, true);
+    const ProposalId old = net.propose(3, change("z", {DrainTarget{T1}}), Revision{0});
+    std::string huge(900'000, 'a');
+    ChangeRecord large = change("l", {DrainTarget{T1}});
+    large.author = huge + huge;
+    const ProposalId tooLarge = net.propose(3, large);
+    net.run(5s);
+    const auto *refused = net.get<ProposalRefused>(wrong);
+    cr_assert(refused && refused->findings.size() >= 2 && refused->latest == Revision{1});
+    const auto *preview = net.get<ProposalPreview>(dry);
+    cr_assert(preview && preview->effects.size() == 1);
+    cr_assert(preview->effects[0] == "drain-target alexandria/lending/t1: active → draining");
+    refused = net.get<ProposalRefused>(old);
+    cr_assert(refused && refused->winner == "declare");
+    cr_assert(net.get<ProposalRefused>(tooLarge) != nullptr);
+    cr_assert(net.everywhere(Revision{1}) && !net.everywhere(Revision{2}));
+    expectNoViolations(net, "refusals");
+}
