Keep the time at which a target took its state

The address of a cut target may move once the quarantine has run out since the cut; the configuration held the revision of the cut but not its time.

--- a/src/core/config/config.h
+++ b/src/core/config/config.h
@@ -30,6 +30,7 @@
     std::uint32_t slots = 1;    ///< Requests that it runs at once.
     std::uint32_t weight = 100; ///< Share of new flows, relative to the other targets.
     Revision stateSince;
+    std::int64_t stateSinceUnixSeconds = 0; ///< Wall clock of the daemon that accepted the state.
 
     friend bool operator==(const TargetConfig &, const TargetConfig &) = default;
 };
