--- a/src/core/config/apply.cpp
+++ b/src/core/config/apply.cpp
@@ -111,7 +111,7 @@
             return add("is of generation " + std::to_string(target->generation.value()) + ", not "
                        + std::to_string(command.generation.value()));
         const ServiceId service = serviceIdOf(command.target.service);
-        quarantine(*target, service);
+        quarantine(*target, service, m_record.unixSeconds);
         config().services[service].targets.erase(target->id);
         effect("is removed; its addresses are in quarantine");
     }
@@ -137,7 +137,8 @@
                          " addresses to the other service once it is removed");
         const ServiceId from = serviceIdOf(command.target.service);
         TargetConfig moved = *target;
-        quarantine(*target, from);
+        // The cut ended its flows, so the time counts from there.
+        quarantine(*target, from, target->stateSinceUnixSeconds);
         config().services[from].targets.erase(target->id);
         moved.state = TargetState::Active;
         if (addTarget(command.to, std::move(moved)))
@@ -230,6 +231,7 @@
         release(target, service->id);
         target.generation = Generation{m_record.revision.value()};
         target.stateSince = m_record.revision;
+        target.stateSinceUnixSeconds = m_record.unixSeconds;
         noteUse(target, toString(name) + '/' + target.name);
         service->targets.emplace(target.id, std::move(target));
         return true;
@@ -247,6 +249,7 @@
             return add("is " + was + " and can't become " + std::string{toString(to)});
         target->state = to;
         target->stateSince = m_record.revision;
+        target->stateSinceUnixSeconds = m_record.unixSeconds;
         effect(was + " → " + std::string{toString(to)});
     }
 
@@ -283,7 +286,7 @@
         return isFree;
     }
 
-    void quarantine(const TargetConfig &target, ServiceId service)
+    void quarantine(const TargetConfig &target, ServiceId service, std::int64_t begin)
     {
         buildUses();
         for (const Endpoint &address : {target.flows, target.requests}) {
@@ -292,8 +295,8 @@
                 = [&](const QuarantinedAddress &entry) { return entry.address == address; };
             if (std::any_of(config().quarantine.begin(), config().quarantine.end(), known))
                 continue;
-            config().quarantine.push_back({address, service, target.stateSince,
-                                           m_record.unixSeconds + m_record.quarantineSeconds});
+            config().quarantine.push_back(
+                {address, service, target.stateSince, begin + m_record.quarantineSeconds});
         }
     }
 
@@ -304,7 +307,8 @@
             return entry.address == target.flows || entry.address == target.requests;
         };
         for (const QuarantinedAddress &entry : config().quarantine) {
-            if (isOf(entry) && entry.service != service)
+            const bool over = entry.untilUnixSeconds <= m_record.unixSeconds;
+            if (isOf(entry) && entry.service != service && !over)
                 m_result.quarantined.push_back({m_place, entry.address, entry.since});
         }
         std::erase_if(config().quarantine, isOf);
--- a/src/core/config/snapshot.cpp
+++ b/src/core/config/snapshot.cpp
@@ -28,7 +28,8 @@
             {"state", static_cast<int>(target.state)},
             {"slots", target.slots},
             {"weight", target.weight},
-            {"since", target.stateSince.value()}};
+            {"since", target.stateSince.value()},
+            {"since-time", target.stateSinceUnixSeconds}};
 }
 
 [[nodiscard]] TargetConfig readTarget(const FieldReader &fields)
@@ -47,6 +48,7 @@
     target.slots = fields.number32("slots");
     target.weight = fields.number32("weight");
     target.stateSince = Revision{fields.number("since")};
+    target.stateSinceUnixSeconds = fields.seconds("since-time");
     return target;
 }
 
--- a/src/core/control/peer_fetcher.cpp
+++ b/src/core/control/peer_fetcher.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::size_t MaxSources = 8;
+constexpr std::size_t MaxOpenFetches = 3;
+constexpr Duration SlowFetch = 300ms;
 
 } // namespace
 
@@ -21,7 +23,7 @@
         known->revision = std::max(known->revision, revision);
     else if (m_sources.size() < MaxSources)
         m_sources.push_back({records, revision});
-    if (!m_fetching)
+    if (m_open == 0)
         fetchNext();
 }
 
@@ -29,39 +31,65 @@
 {
     std::erase_if(m_sources,
                   [&](const Source &source) { return source.revision <= m_log.revision(); });
-    if (m_sources.empty())
+    std::vector<Source *> usable;
+    for (Source &source : m_sources) {
+        if (!source.asked)
+            usable.push_back(&source);
+    }
+    if (usable.empty())
         return;
-    m_fetching = true;
-    const Endpoint source = m_sources[m_context.pick(m_sources.size())].records;
+    Source &chosen = *usable[m_context.pick(usable.size())];
+    chosen.asked = true;
+    ++m_open;
+    const std::uint64_t fetch = ++m_fetches;
+    m_context.after(SlowFetch, [this, fetch] { fetchElsewhere(fetch); });
     FetchRecords request;
     request.after = m_log.revision();
-    m_context.fetch(source, request, [this, source](const std::optional<RecordsMessage> &message) {
-        onReply(source, message);
-    });
+    m_context.fetch(chosen.records, request,
+                    [this, source = chosen.records,
+                     after = request.after](const std::optional<RecordsMessage> &message) {
+                        onReply(source, after, message);
+                    });
+}
+
+void PeerFetcher::fetchElsewhere(std::uint64_t fetch)
+{
+    const bool stillOpen = m_open > 0 && fetch == m_fetches;
+    if (stillOpen && m_open < MaxOpenFetches)
+        fetchNext();
 }
 
-void PeerFetcher::onReply(const Endpoint &source, const std::optional<RecordsMessage> &message)
+void PeerFetcher::onReply(const Endpoint &source, Revision after,
+                          const std::optional<RecordsMessage> &message)
 {
-    m_fetching = false;
+    --m_open;
     const Revision before = m_log.revision();
     if (const auto *records = message ? std::get_if<Records>(&*message) : nullptr)
-        take(*records);
+        take(*records, after);
     // Without progress, asking the same peer again would go on forever.
     if (m_log.revision() == before)
         drop(source);
-    fetchNext();
+    for (Source &known : m_sources) {
+        if (known.records == source)
+            known.asked = false;
+    }
+    if (m_open == 0)
+        fetchNext();
 }
 
-void PeerFetcher::take(const Records &records)
+// The log may have grown since the question: records count from the revision that was asked for.
+void PeerFetcher::take(const Records &records, Revision after)
 {
+    Revision last = after;
     if (!records.snapshotShards.empty()) {
+        last = records.snapshotRevision;
         if (const auto finding = m_log.install(records.snapshotShards))
             m_context.notice(Severity::Warning, Part::Distribution,
                              "A peer sent a snapshot that is not usable: " + toString(*finding));
     }
     for (const std::string &text : records.records) {
-        const Revision next{m_log.revision().value() + 1};
-        if (std::holds_alternative<RecordBad>(m_reader.append(next, text)))
+        last = Revision{last.value() + 1};
+        if (std::holds_alternative<RecordBad>(m_reader.append(last, text)))
             return;
     }
 }
--- a/src/core/control/peer_fetcher.h
+++ b/src/core/control/peer_fetcher.h
@@ -10,8 +10,9 @@
 
 /// \brief Fetches from peers the records that this daemon lacks.
 ///
-/// One fetch is under way at a time. Every daemon that is known to be ahead is a source; one that
-/// does not answer or has nothing usable is dropped until it speaks again.
+/// Every daemon that is known to be ahead is a source; one that does not answer or has nothing
+/// usable is dropped until it speaks again. One fetch is under way, and another one from another
+/// source where it takes long: a peer that stands still would otherwise cost seconds.
 class PeerFetcher
 {
 public:
@@ -30,18 +31,22 @@
     {
         Endpoint records;
         Revision revision;
+        bool asked = false;
     };
 
     void fetchNext();
-    void onReply(const Endpoint &source, const std::optional<RecordsMessage> &message);
-    void take(const Records &records);
+    void fetchElsewhere(std::uint64_t fetch);
+    void onReply(const Endpoint &source, Revision after,
+                 const std::optional<RecordsMessage> &message);
+    void take(const Records &records, Revision after);
     void drop(const Endpoint &source);
 
     ControlContext &m_context;
     ConfigLog &m_log;
     LogReader &m_reader;
     std::vector<Source> m_sources;
-    bool m_fetching = false;
+    std::uint64_t m_fetches = 0; ///< Ever begun.
+    std::size_t m_open = 0;      ///< Under way now.
 };
 
 } // namespace baobabtrail
--- a/src/core/membership/swim.cpp
+++ b/src/core/membership/swim.cpp
@@ -8,6 +8,8 @@
 
 constexpr std::size_t IndirectPings = 3;
 constexpr std::uint64_t LostPingTicks = 5; ///< A member believed dead is pinged this seldom.
+constexpr std::uint64_t SeedPingTicks = 5;
+constexpr std::uint64_t SeldomSeedPingTicks = 30;
 constexpr std::size_t LeavePings = 8;
 constexpr std::uint32_t CandidateTries = 3;
 constexpr std::uint64_t CandidateRetryTicks = 10;
@@ -43,12 +45,23 @@
     pingCandidate();
     if (m_ticks % LostPingTicks == 0)
         pingLost();
-    if (!hasPeers())
+    if (isSeedDue())
         pingSeed();
     m_table.forgetDead(m_context.now());
     m_remote.forgetDead(m_context.now());
 }
 
+// Daemons of one domain that start together find each other and nobody else while the VM list can't
+// be read; seeds are then the only way to the other domains, which have the configuration. Two
+// groups of a domain that lost each other meet at a seed again, too.
+bool Swim::isSeedDue() const
+{
+    if (!hasPeers())
+        return true;
+    const std::uint64_t every = m_remote.present().empty() ? SeedPingTicks : SeldomSeedPingTicks;
+    return m_ticks % every == 0;
+}
+
 // A shuffled round reaches every member within a bounded number of periods, which picking at
 // random each time would not.
 void Swim::pingNext()
--- a/src/core/membership/swim.h
+++ b/src/core/membership/swim.h
@@ -75,6 +75,7 @@
     void pingNext();
     void pingCandidate();
     void pingLost();
+    [[nodiscard]] bool isSeedDue() const;
     void pingSeed();
     void pingMember(const MemberUpdate &member);
     void sendPing(const Endpoint &address, std::uint64_t sequence, DaemonId recipient);
--- a/tests/config/record_codec_test.cpp
+++ b/tests/config/record_codec_test.cpp
@@ -100,6 +100,8 @@
         target.flows = addressOf(i);
         target.requests = addressOf(i);
         target.state = static_cast<TargetState>(i % 4);
+        target.stateSince = Revision{i + 3ULL};
+        target.stateSinceUnixSeconds = 1'800'000'000 + i;
         service.targets[target.id] = target;
     }
     config.quarantine.push_back({addressOf(5000), lending, Revision{8}, 1'800'000'000});
--- /dev/null
+++ b/tests/control/distribute_test.cpp
@@ -0,0 +1,275 @@
+#include "core/config/log_keys.h"
+#include "support/cluster.h"
+
+#include <criterion/criterion.h>
+
+using namespace baobabtrail;
+using namespace baobabtrail::test;
+
+namespace {
+
+void expectSound(const Cluster &net, const std::string &cell)
+{
+    const std::string problems = net.problems();
+    cr_expect(problems.empty(), "%s:%s", cell.c_str(), problems.c_str());
+}
+
+} // namespace
+
+// A change is accepted while one step of its way to the daemons fails for all of them and for as
+// long as it takes: watches, lists, notices between daemons, fetches. The other steps must make up.
+Test(distribute, everyFaultAtEveryStepIsMadeUpFor)
+{
+    using enum PlatformFault;
+    struct Cell
+    {
+        std::string name;
+        std::function<void(Cluster &)> cause;
+    };
+    const auto platformFault = [](CallKind kind, PlatformFault how) {
+        return [=](Cluster &net) {
+            net.fault = [=](std::size_t, const PlatformRequest &request) {
+                return kindOf(request) == kind ? how : None;
+            };
+        };
+    };
+    std::vector<Cell> cells;
+    for (const auto &[how, name] :
+         std::vector<std::pair<PlatformFault, std::string>>{{Down, "down"},
+                                                            {Slow, "slow"},
+                                                            {RateLimited, "rate-limited"},
+                                                            {WatchSilent, "silent"},
+                                                            {WatchSkips, "skips"}}) {
+        cells.push_back({"watch " + name, platformFault(CallKind::Watch, how)});
+        cells.push_back({"VM list " + name, platformFault(CallKind::ListVms, how)});
+    }
+    cells.push_back({"list slow", platformFault(CallKind::List, Slow)});
+    cells.push_back({"notices lost", [](Cluster &net) {
+                         net.drop = [](std::size_t, const PeerMessage &message) {
+                             return std::holds_alternative<RevisionNotice>(message);
+                         };
+                     }});
+    cells.push_back({"pings lost", [](Cluster &net) {
+                         net.drop = [](std::size_t, const PeerMessage &message) {
+                             return std::holds_alternative<Ping>(message);
+                         };
+                     }});
+    cells.push_back({"a third of all datagrams lost", [](Cluster &net) { net.lossPercent = 33; }});
+    cells.push_back({"every other fetch lost", [](Cluster &net) {
+                         net.dropFetch = [n = 0](std::size_t) mutable { return ++n % 2 == 0; };
+                     }});
+    cells.push_back({"watches silent and notices lost", [&](Cluster &net) {
+                         platformFault(CallKind::Watch, WatchSilent)(net);
+                         net.drop = [](std::size_t, const PeerMessage &message) {
+                             return std::holds_alternative<RevisionNotice>(message);
+                         };
+                     }});
+    cells.push_back({"no peer reachable", [](Cluster &net) {
+                         net.drop = [](std::size_t, const PeerMessage &) { return true; };
+                     }});
+    for (const Cell &cell : cells) {
+        for (const std::size_t perDomain : {3, 8}) {
+            Cluster net{7, perDomain};
+            cell.cause(net);
+            net.run(25s); // Watches that began before are over.
+            const Revision revision = net.accept(1, weightChange("w", 50));
+            net.run(10s);
+            cr_expect(net.everywhere(revision) && !revision.isNull(), "%s", cell.name.c_str());
+            cr_expect(!net.noticed("serving on revision"), "%s", cell.name.c_str());
+            expectSound(net, cell.name);
+        }
+    }
+}
+
+// Any daemon, watchers too, dies, restarts or stands still in the moment that it hears of a change,
+// fetches it, or applies it. The rest must have the change in time, and it once it is back.
+Test(distribute, daemonKilledRestartedOrFrozenAtEveryStep)
+{
+    enum class Blow { Kill, Restart, Freeze };
+    enum class Step { Watch, Fetch, Publish, Tell };
+    const auto isAt = [](Step step, const ControlAction &action) {
+        const auto *call = std::get_if<PlatformCall>(&action);
+        const auto *fetch = std::get_if<FetchFromPeer>(&action);
+        const auto *sent = std::get_if<ControlSendToPeer>(&action);
+        switch (step) {
+        case Step::Watch:
+            return call && kindOf(call->request) == CallKind::Watch;
+        case Step::Fetch:
+            return fetch && std::holds_alternative<FetchRecords>(fetch->message);
+        case Step::Publish:
+            return std::holds_alternative<PublishConfig>(action);
+        case Step::Tell:
+            return sent && std::holds_alternative<RevisionNotice>(sent->message);
+        }
+        return false;
+    };
+    for (const Blow blow : {Blow::Kill, Blow::Restart, Blow::Freeze}) {
+        for (const Step step : {Step::Watch, Step::Fetch, Step::Publish, Step::Tell}) {
+            for (const std::size_t victims : {1, 3}) {
+                const std::string cell = std::to_string(static_cast<int>(blow)) + '/'
+                                         + std::to_string(static_cast<int>(step)) + '/'
+                                         + std::to_string(victims);
+                Cluster net{3, 4};
+                std::set<std::size_t> struck;
+                net.observe = [&](std::size_t node, const ControlAction &action) {
+                    const bool last
+                        = struck.size() >= victims || struck.contains(node) || node == 1;
+                    if (last || !isAt(step, action))
+                        return;
+                    struck.insert(node);
+                    if (blow == Blow::Freeze)
+                        net.freeze(node);
+                    else
+                        net.kill(node);
+                };
+                const Revision revision = net.accept(1, weightChange("w", 50));
+                net.run(12s);
+                cr_expect(net.everywhere(revision) && !revision.isNull(), "%s", cell.c_str());
+                for (const std::size_t node : struck) {
+                    if (blow == Blow::Freeze)
+                        net.thaw(node);
+                    if (blow == Blow::Restart)
+                        net.start(node);
+                }
+                net.run(10s);
+                cr_expect(net.everywhere(revision), "%s: not after the return", cell.c_str());
+                const Revision next = net.accept(2, weightChange("w2", 60));
+                net.run(11s);
+                cr_expect(net.everywhere(next), "%s: next change", cell.c_str());
+                expectSound(net, cell);
+            }
+        }
+    }
+}
+
+// A failure domain loses the platform but not the other domains. Changes go on being accepted
+// elsewhere; its daemons learn of them from the others, within ten seconds.
+Test(distribute, domainCutFromThePlatformHearsOfChangesFromPeers)
+{
+    for (const std::size_t domain : {0, 1, 2}) {
+        for (const bool noticesLost : {false, true}) {
+            Cluster net{domain + 1};
+            net.cutPlatform(Cluster::Domains[domain]);
+            if (noticesLost)
+                net.drop = [](std::size_t, const PeerMessage &message) {
+                    return std::holds_alternative<RevisionNotice>(message);
+                };
+            net.run(60s);
+            const std::size_t elsewhere = (domain * 3 + 3) % 9;
+            const Revision revision = net.accept(elsewhere, weightChange("w", 50));
+            cr_assert(!revision.isNull());
+            cr_expect(net.runUntil([&] { return net.everywhere(revision); }, 10s), "%zu", domain);
+            net.run(10s);
+            expectSound(net, "cut from the platform");
+            cr_expect(net.node(domain * 3).status(net.now()).configAge < 30s);
+        }
+    }
+}
+
+// A failure domain is cut off from everything for ten minutes. It serves on what it has, says how
+// old that is, and refuses nothing it can't know: its operators are told "unknown". After the cut
+// it has every change within ten seconds.
+Test(distribute, domainCutFromAllServesOnAndCatchesUp)
+{
+    Cluster net;
+    net.cutPlatform("alx-raml");
+    net.cutDomains("alx-raml", "alx-smouha");
+    net.cutDomains("alx-raml", "alx-agami");
+    net.run(10s);
+    const ProposalId inside = net.propose(0, weightChange("inside", 20));
+    for (int i = 0; i < 20; ++i) {
+        cr_assert(!net.accept(4, weightChange("w" + std::to_string(i), 50)).isNull());
+        net.run(30s);
+    }
+    cr_assert(net.get<ProposalUnknown>(inside) != nullptr);
+    cr_assert(net.revision(0) == Revision{1} && net.revision(8) == Revision{21});
+    cr_assert(net.node(0).status(net.now()).configAge > 9min);
+    cr_assert(net.noticed("Cut off from the platform: serving on revision 1"));
+    net.healAll();
+    cr_assert(net.runUntil([&] { return net.everywhere(Revision{21}); }, 10s));
+    net.run(30s);
+    cr_assert(net.node(0).status(net.now()).configAge < 10s);
+    cr_assert(net.noticed("known to be the newest again"));
+    cr_assert(net.node(0).view()->members.size() == 3);
+    expectSound(net, "cut from all");
+}
+
+// The platform is down for minutes, and meanwhile every VM of a failure domain is replaced: one
+// after the other, or all at once. The new daemons must get the configuration from peers.
+Test(distribute, domainReplacedWhileThePlatformIsDownGetsStateFromPeers)
+{
+    for (const bool allAtOnce : {false, true}) {
+        Cluster net;
+        net.accept(3, weightChange("w", 50));
+        net.run(5s);
+        for (const char *domain : Cluster::Domains)
+            net.cutPlatform(domain);
+        net.run(60s);
+        for (std::size_t node = 0; node < 3; ++node) {
+            net.restart(node);
+            if (!allAtOnce)
+                net.run(20s);
+        }
+        cr_assert(net.runUntil([&] { return net.everywhere(Revision{2}); }, 10s), "all at once: %d",
+                  allAtOnce);
+        net.run(60s);
+        net.healAll();
+        const Revision revision = net.accept(0, weightChange("w2", 60));
+        cr_assert(revision == Revision{3});
+        net.run(12s);
+        cr_assert(net.everywhere(revision));
+        expectSound(net, "replaced");
+    }
+}
+
+// An object of the log is damaged, or written by a newer version with a command that this one
+// lacks. Daemons stop before it, say so, and serve on; once it is repaired they go on.
+Test(distribute, badRecordStopsDaemonsBeforeItLoudly)
+{
+    for (const bool unknownKind : {false, true}) {
+        Cluster net;
+        const Revision revision = net.accept(0, weightChange("w", 50));
+        net.run(12s);
+        StoredObject &object = net.platform.objects.at(logKey(revision));
+        const std::string good = object.value;
+        std::string bad = good;
+        const std::size_t at = bad.find("set-weight");
+        bad.replace(at, 10, unknownKind ? "new-weight" : "set\xffweight");
+        object.value = bad;
+        for (std::size_t node = 0; node < 9; ++node)
+            net.kill(node);
+        net.startAll();
+        net.run(30s);
+        cr_assert(net.everywhere(Revision{1}) && !net.everywhere(revision));
+        cr_assert(net.noticed("serving on revision 1"));
+        const auto loud = std::count_if(net.notices.begin(), net.notices.end(), [](const auto &n) {
+            return n.severity == Severity::Error;
+        });
+        cr_assert(loud >= 1 && loud <= 9, "%ld errors", static_cast<long>(loud));
+        const ProposalId id = net.propose(5, weightChange("next", 70));
+        net.run(10s);
+        cr_assert(net.get<ProposalUnknown>(id) != nullptr);
+        net.platform.objects.at(logKey(revision)).value = good;
+        cr_assert(net.runUntil([&] { return net.everywhere(revision); }, 10s));
+        expectSound(net, "bad record");
+    }
+}
+
+// What the platform is asked must not grow with the number of daemons, in quiet or under changes.
+Test(distribute, platformCallsDoNotGrowWithDaemons)
+{
+    std::vector<std::uint64_t> counts;
+    for (const std::size_t perDomain : {3, 20}) {
+        Cluster net{5, perDomain};
+        net.run(30s);
+        const std::uint64_t before = net.totalCalls();
+        for (int i = 0; i < 20; ++i) {
+            net.accept(1, weightChange("w" + std::to_string(i), 50));
+            net.run(3s);
+        }
+        counts.push_back(net.totalCalls() - before);
+        expectSound(net, "calls");
+    }
+    cr_assert(counts[1] <= counts[0] * 11 / 10, "%lu calls by 9 daemons, %lu by 60", counts[0],
+              counts[1]);
+}
--- /dev/null
+++ b/tests/control/quarantine_test.cpp
@@ -0,0 +1,109 @@
+#include "support/cluster.h"
+
+#include <criterion/criterion.h>
+
+using namespace baobabtrail;
+using namespace baobabtrail::test;
+
+namespace {
+
+constexpr std::size_t CutOff = 8;
+
+/// \brief Lending's target is taken out of service in the given way while one daemon hears nothing.
+/// \return The record that gives its address to catalogue.
+[[nodiscard]] ChangeRecord takeOut(Cluster &net, bool move)
+{
+    if (move) {
+        cr_assert(!net.accept(0, change("cut", {CutTarget{T1}})).isNull());
+        return change("take", {MoveTarget{T1, {"alexandria", "catalogue"}}});
+    }
+    cr_assert(!net.accept(0, change("retire", {RetireTarget{T1}})).isNull());
+    cr_assert(!net.accept(4, change("remove", {RemoveTarget{T1, Generation{1}}})).isNull());
+    return change("take", {addTarget("catalogue", "t1", 1)});
+}
+
+} // namespace
+
+// A target leaves lending, and its address is wanted for catalogue. One daemon is cut off, stands
+// still or has lost its peers all the while: it still sends lending's packets to the address.
+// The claim must be refused, naming that daemon, until the daemon is back and has passed the
+// revision; or its VM is gone from the list; or ten minutes are over.
+Test(quarantine, addressWaitsForADaemonThatWasCutOffAllTheWhile)
+{
+    enum class End { Returns, Unlisted, TimeOver };
+    for (const bool frozen : {false, true}) {
+        for (const bool move : {false, true}) {
+            for (const End end : {End::Returns, End::Unlisted, End::TimeOver}) {
+                Cluster net;
+                if (frozen)
+                    net.freeze(CutOff);
+                else
+                    net.cutNode(CutOff);
+                const ChangeRecord take = takeOut(net, move);
+                net.run(60s); // Long enough that its peers consider it dead.
+                for (const std::size_t proposer : {0, 4, 7}) {
+                    const ProposalId id = net.propose(proposer, take);
+                    net.run(12s);
+                    const auto *refused = net.get<ProposalRefused>(id);
+                    cr_assert(refused != nullptr && refused->findings.size() == 1);
+                    const std::string &finding = refused->findings[0];
+                    cr_assert(finding.find("is in quarantine: 1 daemons") != std::string::npos
+                                  && finding.find("9 (alx-agami)") != std::string::npos,
+                              "%s", finding.c_str());
+                }
+                if (end == End::Unlisted)
+                    net.unlist(CutOff);
+                if (end == End::TimeOver)
+                    net.run(10min);
+                if (end == End::Returns) {
+                    net.healAll();
+                    net.thaw(CutOff);
+                    net.run(15s);
+                }
+                const Revision revision = net.accept(4, take);
+                cr_assert(!revision.isNull(), "frozen %d, move %d, end %d", frozen, move,
+                          static_cast<int>(end));
+                net.run(12s);
+                cr_assert(net.problems().empty(), "%s", net.problems().c_str());
+            }
+        }
+    }
+}
+
+// With every daemon in touch the address is free within seconds, whatever daemon is asked, and the
+// same service may have it back at once, even with a daemon cut off.
+Test(quarantine, addressIsFreeOnceEveryDaemonHasPassed)
+{
+    for (const std::size_t proposer : {0, 4, 8}) {
+        Cluster net;
+        const ChangeRecord take = takeOut(net, false);
+        net.run(10s);
+        const ProposalId id = net.propose(proposer, take);
+        net.run(1s);
+        cr_assert(net.get<ProposalAccepted>(id) != nullptr);
+
+        Cluster other;
+        other.cutNode(CutOff);
+        (void)takeOut(other, false);
+        const ProposalId back
+            = other.propose(proposer % 8, change("b", {addTarget("lending", "t1", 1)}));
+        other.run(1s);
+        cr_assert(other.get<ProposalAccepted>(back) != nullptr);
+    }
+}
+
+// The VM list can't be read: nobody can say which daemons are live, and the claim is refused.
+Test(quarantine, addressStaysWhereNobodyKnowsWhoIsLive)
+{
+    Cluster net;
+    const ChangeRecord take = takeOut(net, false);
+    net.run(10s);
+    net.fault = [](std::size_t, const PlatformRequest &request) {
+        return kindOf(request) == CallKind::ListVms ? PlatformFault::Down : PlatformFault::None;
+    };
+    const ProposalId id = net.propose(0, take);
+    net.run(12s);
+    const auto *refused = net.get<ProposalRefused>(id);
+    cr_assert(refused && refused->findings[0].find("can't be read") != std::string::npos);
+    cr_assert(net.problems().empty(), "%s", net.problems().c_str());
+}
--- a/tests/support/fake_platform.h
+++ b/tests/support/fake_platform.h
@@ -41,6 +41,8 @@
 {
 public:
     std::map<std::string, StoredObject> objects;
+    std::map<std::string, std::string> created; ///< First value of every key, deleted ones too.
+    std::vector<std::string> recreated;         ///< Keys that were created again after deletion.
     std::vector<VmEntry> vms;
 
     /// \return The result of any call but a watch that has to wait.
@@ -67,6 +69,8 @@
     {
         if (objects.contains(call.key))
             return WriteConflict{};
+        if (!created.emplace(call.key, call.value).second)
+            recreated.push_back(call.key);
         return put(call.key, call.value);
     }
     [[nodiscard]] PlatformResult on(const UpdateObject &call)
