--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -19,6 +19,10 @@
 
 /// Largest datagram that is sent or taken, in bytes.
 inline constexpr std::size_t MaxDatagramBytes = 60000;
+/// Room for what daemons put around a caller's frame when they pass it on.
+inline constexpr std::size_t MaxEnvelopeBytes = 512;
+/// Largest frame that a caller may send, in bytes.
+inline constexpr std::size_t MaxCallerBytes = MaxDatagramBytes - MaxEnvelopeBytes;
 /// Largest message on a connection to a target, in bytes.
 inline constexpr std::size_t MaxLinkMessageBytes = 1 << 20;
 /// Smallest OpenFlow or Reserve that is taken, in bytes: no reply to one is larger, so that a
