Carry the age of the configuration on pings and the quarantine in records

Only watchers talk to the platform, so a daemon cut off with its domain could not tell how old its configuration is: pings now carry the age, nothing where it is unknown. The quarantine of a freed address came from each daemon's own settings; two settings gave two configurations at one revision.

--- a/src/core/config/change.h
+++ b/src/core/config/change.h
@@ -101,6 +101,9 @@
     std::string author;
     std::string tenant; ///< Whose key was used; empty for an operator of the whole system.
     std::int64_t unixSeconds = 0;
+    /// How long addresses that this record frees stay in quarantine. It travels in the record, so
+    /// that daemons with other settings work out the same configuration.
+    std::int64_t quarantineSeconds = 600;
     std::vector<Command> commands; ///< In force together or not at all.
 };
 
--- a/src/core/messages/peer.h
+++ b/src/core/messages/peer.h
@@ -5,6 +5,7 @@
 
 #include "core/messages/request.h"
 
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -63,6 +64,7 @@
 {
     std::uint64_t sequence = 0;
     std::vector<MemberUpdate> updates; ///< The sender's own comes first.
+    std::optional<Duration> configAge; ///< Since the sender's revision was known to be the newest.
 };
 
 /// \brief Asks a third daemon to ping \a subject, to tell a dead member from a lost datagram.
@@ -77,6 +79,7 @@
 {
     std::uint64_t sequence = 0;
     std::vector<MemberUpdate> updates; ///< The sender's own comes first.
+    std::optional<Duration> configAge; ///< As in Ping.
 };
 
 /// \brief A new revision exists and can be fetched from the sender.
