--- a/src/wire/peer_frames.cpp
+++ b/src/wire/peer_frames.cpp
@@ -130,6 +130,8 @@
         pb::Ping &body = *m_out.mutable_ping();
         body.set_sequence(in.sequence);
         writeUpdates(in.updates, *body.mutable_updates());
+        if (in.configAge)
+            body.set_config_age(impl::packDuration(*in.configAge));
     }
 
     void operator()(const IndirectPing &in) const
@@ -145,6 +147,8 @@
         pb::PingAck &body = *m_out.mutable_ping_ack();
         body.set_sequence(in.sequence);
         writeUpdates(in.updates, *body.mutable_updates());
+        if (in.configAge)
+            body.set_config_age(impl::packDuration(*in.configAge));
     }
 
     void operator()(const RevisionNotice &in) const
@@ -195,11 +199,19 @@
     return std::nullopt;
 }
 
-[[nodiscard]] Error readBody(pb::Ping &in, Ping &out)
+template <typename Body, typename Message>
+[[nodiscard]] Error readAgedPing(Body &in, Message &out)
 {
+    if (in.has_config_age() && !impl::readDuration(in.config_age(), out.configAge.emplace()))
+        return DecodeError::Malformed;
     return readPing(in, out);
 }
 
+[[nodiscard]] Error readBody(pb::Ping &in, Ping &out)
+{
+    return readAgedPing(in, out);
+}
+
 [[nodiscard]] Error readBody(pb::IndirectPing &in, IndirectPing &out)
 {
     out.subject = impl::unpackEndpoint(in.subject());
@@ -208,7 +220,7 @@
 
 [[nodiscard]] Error readBody(pb::PingAck &in, PingAck &out)
 {
-    return readPing(in, out);
+    return readAgedPing(in, out);
 }
 
 [[nodiscard]] Error readBody(pb::RevisionNotice &in, RevisionNotice &out)
