--- /dev/null
+++ b/src/platform/connection_pool.cpp
@@ -0,0 +1,34 @@
+#include "platform/impl/connection_pool.h"
+
+namespace baobabtrail::impl {
+
+namespace {
+
+/// Servers drop idle connections; a write sent on one that is about to be dropped has an unknown
+/// outcome. Below this age that is rare.
+constexpr auto LongestIdle = std::chrono::seconds{5};
+constexpr std::size_t MostIdle = 16;
+
+} // namespace
+
+Connection ConnectionPool::take()
+{
+    if (m_idle.empty())
+        return nullptr;
+    Idle newest = std::move(m_idle.back());
+    m_idle.pop_back();
+    if (std::chrono::steady_clock::now() - newest.since > LongestIdle) {
+        m_idle.clear();
+        return nullptr;
+    }
+    return std::move(newest.connection);
+}
+
+void ConnectionPool::give(Connection connection)
+{
+    if (m_idle.size() >= MostIdle)
+        m_idle.erase(m_idle.begin());
+    m_idle.push_back({std::move(connection), std::chrono::steady_clock::now()});
+}
+
+} // namespace baobabtrail::impl
