--- /dev/null
+++ b/src/language/impl/queries.cpp
@@ -0,0 +1,189 @@
+#include "language/impl/queries.h"
+
+#include "language/impl/tables.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace baobabtrail::language::impl {
+
+namespace {
+
+[[nodiscard]] std::optional<std::size_t> columnOf(const Result &result, std::string_view column)
+{
+    const auto found = std::find(result.columns.begin(), result.columns.end(), column);
+    if (found == result.columns.end())
+        return std::nullopt;
+    return static_cast<std::size_t>(found - result.columns.begin());
+}
+
+[[nodiscard]] std::string joined(const std::vector<std::string> &words)
+{
+    std::string text;
+    for (const std::string &word : words) {
+        if (!text.empty())
+            text += ", ";
+        text += word;
+    }
+    return text;
+}
+
+/// \brief Whether a cell has the value that a filter names; a service may be given as
+/// "tenant/service".
+[[nodiscard]] bool holds(const Result &result, const std::vector<std::string> &row,
+                         std::size_t column, const std::string &value)
+{
+    if (row[column] == value)
+        return true;
+    const auto tenant = columnOf(result, "tenant");
+    return result.columns[column] == "service" && tenant
+           && row[*tenant] + '/' + row[column] == value;
+}
+
+[[nodiscard]] Result tableOf(const Backend &backend, Table table)
+{
+    switch (table) {
+    case Table::Services:
+        return servicesTable(backend);
+    case Table::Targets:
+        return targetsTable(backend);
+    case Table::Daemons:
+        return daemonsTable(backend);
+    case Table::Changes:
+        return changesTable(backend);
+    case Table::Drains:
+        return drainsTable(backend);
+    }
+    return {};
+}
+
+/// \brief Removes what belongs to other tenants: a tenant's key shows only its own.
+void keepVisible(Result &result, const Caller &caller)
+{
+    const auto tenant = columnOf(result, "tenant");
+    if (caller.tenant.empty() || !tenant)
+        return;
+    std::erase_if(result.rows, [&](const auto &row) { return row[*tenant] != caller.tenant; });
+}
+
+struct OutcomeText
+{
+    const std::string &changeId;
+
+    Result operator()(const ProposalAccepted &outcome) const
+    {
+        const std::string revision = std::to_string(outcome.revision.value());
+        const std::string text = outcome.repeated ? "was accepted before as revision " + revision
+                                                  : "accepted as revision " + revision;
+        return Result{Status::Done,
+                      {"change " + changeId + ' ' + text},
+                      {"change", "revision"},
+                      {{changeId, revision}}};
+    }
+
+    Result operator()(const ProposalRefused &outcome) const
+    {
+        Result result{Status::Refused, outcome.findings, {}, {}};
+        if (!outcome.winner.empty())
+            result.messages.push_back("change " + outcome.winner + " was accepted first");
+        result.messages.push_back("the newest revision is "
+                                  + std::to_string(outcome.latest.value()));
+        return result;
+    }
+
+    Result operator()(const ProposalUnknown &outcome) const
+    {
+        return Result{Status::Unknown,
+                      {outcome.what, "ask again with the change id " + changeId
+                                         + " to learn whether it was accepted"},
+                      {},
+                      {}};
+    }
+
+    Result operator()(const ProposalPreview &outcome) const
+    {
+        Result result{Status::Done, outcome.effects, {}, {}};
+        result.messages.push_back("dry run on revision " + std::to_string(outcome.latest.value())
+                                  + ": nothing was changed");
+        return result;
+    }
+};
+
+} // namespace
+
+Result showTable(const Backend &backend, const Caller &caller, const Show &show)
+{
+    Result result = tableOf(backend, show.table);
+    std::vector<std::string> findings;
+    for (const Filter &filter : show.filters) {
+        if (!columnOf(result, filter.column))
+            findings.push_back("this table has no column '" + filter.column
+                               + "'; it has: " + joined(result.columns));
+    }
+    if (!findings.empty())
+        return Result{Status::Usage, findings, {}, {}};
+
+    keepVisible(result, caller);
+    for (const Filter &filter : show.filters) {
+        const std::size_t column = *columnOf(result, filter.column);
+        std::erase_if(result.rows, [&](const auto &row) {
+            return holds(result, row, column, filter.value) == filter.negated;
+        });
+    }
+    return result;
+}
+
+Result revisionTable(const std::vector<DomainStatus> &domains)
+{
+    Result result;
+    result.columns = {"domain", "daemon", "state", "revision", "config-age"};
+    for (const DomainStatus &domain : domains) {
+        const auto age = std::chrono::duration_cast<std::chrono::seconds>(domain.configAge);
+        for (const MemberUpdate &member : domain.members) {
+            result.rows.push_back({domain.domain, std::to_string(member.daemon.value()),
+                                   toString(member.state), std::to_string(member.revision.value()),
+                                   std::to_string(age.count()) + " s"});
+        }
+    }
+    return result;
+}
+
+Result changeFate(const Backend &backend, const Caller &caller, const std::string &changeId,
+                  const std::vector<DomainStatus> &domains)
+{
+    const std::vector<ChangeRecord> changes = backend.recentChanges();
+    const auto found = std::find_if(changes.begin(), changes.end(), [&](const auto &record) {
+        const bool visible = caller.tenant.empty() || record.tenant == caller.tenant;
+        return visible && record.changeId == changeId;
+    });
+    if (found == changes.end()) {
+        return Result{Status::Unknown,
+                      {"no change " + changeId + " among those kept at this daemon"},
+                      {},
+                      {}};
+    }
+    std::size_t inForce = 0;
+    std::size_t known = 0;
+    for (const DomainStatus &domain : domains) {
+        for (const MemberUpdate &member : domain.members) {
+            if (member.state == MemberState::Dead)
+                continue;
+            ++known;
+            inForce += member.revision >= found->revision ? 1 : 0;
+        }
+    }
+    const std::string revision = std::to_string(found->revision.value());
+    return Result{
+        Status::Done,
+        {"change " + changeId + " is revision " + revision + ", in force on "
+         + std::to_string(inForce) + " of " + std::to_string(known) + " daemons"},
+        {"change", "revision", "author", "in-force", "daemons"},
+        {{changeId, revision, found->author, std::to_string(inForce), std::to_string(known)}}};
+}
+
+Result proposalResult(const ProposalOutcome &outcome, const std::string &changeId)
+{
+    return std::visit(OutcomeText{changeId}, outcome);
+}
+
+} // namespace baobabtrail::language::impl
--- /dev/null
+++ b/src/language/impl/tables.cpp
@@ -0,0 +1,266 @@
+#include "language/impl/tables.h"
+
+#include "core/config/apply.h"
+
+#include <iomanip>
+#include <map>
+#include <sstream>
+
+namespace baobabtrail::language::impl {
+
+namespace {
+
+constexpr const char *NotKnownHere = "-";
+
+[[nodiscard]] std::string oneDecimal(double value)
+{
+    std::ostringstream out;
+    out << std::fixed << std::setprecision(1) << value;
+    return out.str();
+}
+
+template <typename Value>
+[[nodiscard]] std::string text(Value value)
+{
+    return std::to_string(value);
+}
+
+template <typename Tag, typename Value>
+[[nodiscard]] std::string text(StrongId<Tag, Value> id)
+{
+    return std::to_string(id.value());
+}
+
+using StatusById = std::map<TargetId, TargetStatus>;
+
+[[nodiscard]] StatusById statusById(const Backend &backend)
+{
+    StatusById byId;
+    for (const TargetStatus &status : backend.targetStatus())
+        byId.emplace(status.target, status);
+    return byId;
+}
+
+[[nodiscard]] std::string ownerName(const Backend &backend, const TargetConfig &target)
+{
+    const ViewPtr view = backend.view();
+    if (target.domain != view->domain)
+        return "in " + target.domain;
+    const Member *owner = view->ownerOf(target.id);
+    return owner ? text(owner->id) : NotKnownHere;
+}
+
+/// \brief Seconds since 1970 as "2026-12-02T20:38:40Z".
+[[nodiscard]] std::string utc(std::int64_t unixSeconds)
+{
+    const std::chrono::sys_seconds when{std::chrono::seconds{unixSeconds}};
+    const auto day = std::chrono::floor<std::chrono::days>(when);
+    const std::chrono::year_month_day date{day};
+    const std::chrono::hh_mm_ss time{when - day};
+    std::ostringstream out;
+    out << std::setfill('0') << static_cast<int>(date.year()) << '-' << std::setw(2)
+        << static_cast<unsigned>(date.month()) << '-' << std::setw(2)
+        << static_cast<unsigned>(date.day()) << 'T' << std::setw(2) << time.hours().count() << ':'
+        << std::setw(2) << time.minutes().count() << ':' << std::setw(2) << time.seconds().count()
+        << 'Z';
+    return out.str();
+}
+
+[[nodiscard]] std::string name(const ServiceName &service)
+{
+    return service.tenant + '/' + service.service;
+}
+
+[[nodiscard]] std::string name(const TargetName &target)
+{
+    return name(target.service) + '/' + target.target;
+}
+
+struct CommandText
+{
+    std::string operator()(const DeclareTenant &c) const { return "declare tenant " + c.tenant; }
+    std::string operator()(const DeclareService &c) const
+    {
+        return "declare service " + name(c.service);
+    }
+    std::string operator()(const AddTarget &c) const { return "add target " + name(c.target); }
+    std::string operator()(const DrainTarget &c) const { return "drain target " + name(c.target); }
+    std::string operator()(const UndrainTarget &c) const
+    {
+        return "undrain target " + name(c.target);
+    }
+    std::string operator()(const RetireTarget &c) const
+    {
+        return "retire target " + name(c.target);
+    }
+    std::string operator()(const RemoveTarget &c) const
+    {
+        return "remove target " + name(c.target);
+    }
+    std::string operator()(const CutTarget &c) const { return "cut target " + name(c.target); }
+    std::string operator()(const SetLimits &c) const { return "set limits " + name(c.service); }
+    std::string operator()(const SetWeight &c) const
+    {
+        return "set weight " + name(c.target) + ' ' + text(c.weight);
+    }
+    std::string operator()(const MoveTarget &c) const
+    {
+        return "move target " + name(c.target) + " to " + name(c.to);
+    }
+    std::string operator()(const RotateKeys &c) const { return "rotate keys to " + text(c.epoch); }
+};
+
+} // namespace
+
+std::string toString(MemberState state)
+{
+    switch (state) {
+    case MemberState::Alive:
+        return "alive";
+    case MemberState::Suspect:
+        return "suspect";
+    case MemberState::Leaving:
+        return "leaving";
+    case MemberState::Dead:
+        return "dead";
+    }
+    return "unknown";
+}
+
+std::string toString(TargetHealth health)
+{
+    switch (health) {
+    case TargetHealth::Unverified:
+        return "unverified";
+    case TargetHealth::Good:
+        return "good";
+    case TargetHealth::Warming:
+        return "warming";
+    case TargetHealth::Ejected:
+        return "ejected";
+    case TargetHealth::Mismatch:
+        return "mismatch";
+    }
+    return "unknown";
+}
+
+std::string describe(const Command &command)
+{
+    return std::visit(CommandText{}, command);
+}
+
+Result servicesTable(const Backend &backend)
+{
+    Result result;
+    result.columns = {"tenant", "service", "id", "targets", "queue", "share", "retries"};
+    for (const auto &[id, service] : backend.config()->services) {
+        result.rows.push_back({service.tenant, service.name, text(id), text(service.targets.size()),
+                               text(service.limits.queuePerSlot), text(service.limits.tenantShare),
+                               text(service.limits.retryPercent)});
+    }
+    return result;
+}
+
+Result targetsTable(const Backend &backend)
+{
+    Result result;
+    result.columns = {"tenant", "service", "target", "domain",  "state", "weight",
+                      "slots",  "owner",   "health", "running", "limit", "connections"};
+    const StatusById statuses = statusById(backend);
+    for (const auto &[serviceId, service] : backend.config()->services) {
+        for (const auto &[id, target] : service.targets) {
+            std::vector<std::string> row{service.tenant,
+                                         service.name,
+                                         target.name,
+                                         target.domain,
+                                         std::string(baobabtrail::toString(target.state)),
+                                         text(target.weight),
+                                         text(target.slots),
+                                         ownerName(backend, target)};
+            const auto found = statuses.find(id);
+            if (found == statuses.end()) {
+                row.insert(row.end(), 4, NotKnownHere);
+            } else {
+                const TargetStatus &status = found->second;
+                row.push_back(toString(status.health));
+                row.push_back(text(status.running));
+                row.push_back(oneDecimal(status.concurrencyLimit));
+                row.push_back(text(status.reported.connections));
+            }
+            result.rows.push_back(std::move(row));
+        }
+    }
+    return result;
+}
+
+Result daemonsTable(const Backend &backend)
+{
+    Result result;
+    result.columns = {"daemon", "domain", "state", "revision", "address"};
+    const ViewPtr view = backend.view();
+    const auto add = [&result](const Member &member) {
+        result.rows.push_back({text(member.id), member.domain, toString(member.state),
+                               text(member.revision), baobabtrail::toString(member.address)});
+    };
+    for (const Member &member : view->members)
+        add(member);
+    for (const auto &[domain, members] : view->remote) {
+        for (const Member &member : members)
+            add(member);
+    }
+    return result;
+}
+
+Result changesTable(const Backend &backend)
+{
+    Result result;
+    result.columns = {"revision", "change", "tenant", "author", "when", "commands"};
+    for (const ChangeRecord &record : backend.recentChanges()) {
+        std::string commands;
+        for (const Command &command : record.commands) {
+            if (!commands.empty())
+                commands += "; ";
+            commands += describe(command);
+        }
+        result.rows.push_back({text(record.revision), record.changeId,
+                               record.tenant.empty() ? NotKnownHere : record.tenant, record.author,
+                               utc(record.unixSeconds), commands});
+    }
+    return result;
+}
+
+Result drainsTable(const Backend &backend)
+{
+    Result result;
+    result.columns = {"tenant", "service",     "target",  "domain",  "state",
+                      "owner",  "connections", "running", "waiting", "report-age"};
+    const StatusById statuses = statusById(backend);
+    for (const auto &[serviceId, service] : backend.config()->services) {
+        for (const auto &[id, target] : service.targets) {
+            if (target.state != TargetState::Draining && target.state != TargetState::Retiring)
+                continue;
+            std::vector<std::string> row{service.tenant,
+                                         service.name,
+                                         target.name,
+                                         target.domain,
+                                         std::string(baobabtrail::toString(target.state)),
+                                         ownerName(backend, target)};
+            const auto found = statuses.find(id);
+            if (found == statuses.end()) {
+                row.insert(row.end(), 4, NotKnownHere);
+            } else {
+                const TargetStatus &status = found->second;
+                const auto age
+                    = std::chrono::duration_cast<std::chrono::milliseconds>(status.reportAge);
+                row.push_back(text(status.reported.connections));
+                row.push_back(text(status.running));
+                row.push_back(text(status.waiting));
+                row.push_back(text(age.count()) + " ms");
+            }
+            result.rows.push_back(std::move(row));
+        }
+    }
+    return result;
+}
+
+} // namespace baobabtrail::language::impl
--- /dev/null
+++ b/src/language/impl/wait.cpp
@@ -0,0 +1,119 @@
+#include "language/impl/wait.h"
+
+#include <algorithm>
+#include <memory>
+
+namespace baobabtrail::language::impl {
+
+namespace {
+
+constexpr Duration PollPeriod = 100ms;
+
+/// \brief One wait in progress; keeps itself alive through its handlers.
+class Waiting : public std::enable_shared_from_this<Waiting>
+{
+public:
+    Waiting(Backend backend, Wait wait, std::function<void(Result)> done)
+        : m_backend(std::move(backend))
+        , m_wait(std::move(wait))
+        , m_done(std::move(done))
+        , m_since(m_backend.unixSeconds())
+    {
+    }
+
+    void poll()
+    {
+        m_backend.domainStatus(
+            [self = shared_from_this()](const std::vector<DomainStatus> &domains) {
+                self->judge(domains);
+            });
+    }
+
+private:
+    void judge(const std::vector<DomainStatus> &domains)
+    {
+        const std::optional<Revision> revision = subjectRevision();
+        std::vector<std::string> missing;
+        if (revision)
+            missing = missingDaemons(*revision, domains);
+        else
+            missing.push_back("change " + std::get<std::string>(m_wait.subject)
+                              + " is not known at this daemon");
+        if (missing.empty()) {
+            m_done(Result{Status::Done,
+                          {"revision " + std::to_string(revision->value())
+                           + " is in force on every live daemon"},
+                          {},
+                          {}});
+            return;
+        }
+        if (waited() >= m_wait.timeout) {
+            missing.insert(missing.begin(), "not in force everywhere within the time given:");
+            m_done(Result{Status::Unknown, std::move(missing), {}, {}});
+            return;
+        }
+        m_delays += PollPeriod;
+        m_backend.after(PollPeriod, [self = shared_from_this()] { self->poll(); });
+    }
+
+    /// Asking a domain that is cut off takes seconds by itself, which the delays between the
+    /// questions don't show; the wall clock alone may be set back.
+    [[nodiscard]] Duration waited() const
+    {
+        const Duration byClock = std::chrono::seconds{m_backend.unixSeconds() - m_since};
+        return std::max(m_delays, byClock);
+    }
+
+    [[nodiscard]] std::optional<Revision> subjectRevision() const
+    {
+        if (const auto *revision = std::get_if<Revision>(&m_wait.subject))
+            return *revision;
+        const std::string &id = std::get<std::string>(m_wait.subject);
+        for (const ChangeRecord &record : m_backend.recentChanges()) {
+            if (record.changeId == id)
+                return record.revision;
+        }
+        return std::nullopt;
+    }
+
+    /// A daemon that can't be heard may still serve by an older revision, so it counts as missing
+    /// until the membership has found it dead; silence is never taken for agreement.
+    [[nodiscard]] std::vector<std::string>
+    missingDaemons(Revision revision, const std::vector<DomainStatus> &domains) const
+    {
+        std::vector<std::string> missing;
+        for (const DomainStatus &domain : domains) {
+            for (const MemberUpdate &member : domain.members) {
+                if (member.state == MemberState::Dead || member.revision >= revision)
+                    continue;
+                missing.push_back("daemon " + std::to_string(member.daemon.value()) + " in "
+                                  + domain.domain + " has revision "
+                                  + std::to_string(member.revision.value()));
+            }
+        }
+        for (const auto &[name, members] : m_backend.view()->remote) {
+            const bool heard = std::any_of(domains.begin(), domains.end(), [&](const auto &domain) {
+                return domain.domain == name;
+            });
+            if (!heard && !members.empty())
+                missing.push_back("failure domain " + name + " did not answer");
+        }
+        return missing;
+    }
+
+    Backend m_backend;
+    Wait m_wait;
+    std::function<void(Result)> m_done;
+    std::int64_t m_since;
+    Duration m_delays{0};
+};
+
+} // namespace
+
+void waitUntilInForce(const Backend &backend, const Wait &wait,
+                      const std::function<void(Result)> &done)
+{
+    std::make_shared<Waiting>(backend, wait, done)->poll();
+}
+
+} // namespace baobabtrail::language::impl
--- /dev/null
+++ b/tests/language/execute_test.cpp
@@ -0,0 +1,168 @@
+#include "language/backend.h"
+
+#include <deque>
+
+#include <criterion/criterion.h>
+
+using namespace baobabtrail;
+using namespace baobabtrail::language;
+
+namespace {
+
+/// \brief A backend with one service of two tenants each, and answers that a test sets.
+struct FakeBackend
+{
+    std::shared_ptr<Config> config = std::make_shared<Config>();
+    std::shared_ptr<View> view = std::make_shared<View>();
+    std::vector<ChangeRecord> changes;
+    std::deque<std::vector<DomainStatus>> statuses; ///< One for each question; the last one stays.
+    ProposalOutcome outcome = ProposalAccepted{Revision{4}, false};
+    Propose proposed;
+    std::int64_t now = 1000;
+
+    FakeBackend()
+    {
+        addService("alexandria", "lending", TargetState::Draining);
+        addService("vitilevu", "boarding", TargetState::Active);
+    }
+
+    void addService(const std::string &tenant, const std::string &name, TargetState state)
+    {
+        ServiceConfig service{serviceId(tenant, name), tenant, name, {}, {}};
+        TargetConfig target;
+        target.id = targetId(service.id, "t1");
+        target.name = "t1";
+        target.domain = "alx-raml";
+        target.state = state;
+        service.targets.emplace(target.id, target);
+        config->services.emplace(service.id, service);
+    }
+
+    [[nodiscard]] Backend backend()
+    {
+        Backend made;
+        made.config = [this] { return config; };
+        made.view = [this] { return view; };
+        made.recentChanges = [this] { return changes; };
+        made.targetStatus = [] { return std::vector<TargetStatus>{}; };
+        made.propose = [this](Propose proposal, const auto &done) {
+            proposed = std::move(proposal);
+            done(outcome);
+        };
+        made.domainStatus = [this](const auto &done) {
+            const auto answer = statuses.front();
+            if (statuses.size() > 1)
+                statuses.pop_front();
+            done(answer);
+        };
+        made.metrics = [] { return std::string{"metrics"}; };
+        made.after = [this](Duration, const auto &then) {
+            ++now;
+            then();
+        };
+        made.unixSeconds = [this] { return now; };
+        return made;
+    }
+
+    [[nodiscard]] Result run(const std::string &text, const std::string &tenant = {})
+    {
+        Request request{text, "c1", std::nullopt, false, {"ada", tenant}};
+        Result result;
+        const Backend made = backend();
+        execute(made, request, [&result](const Result &answer) { result = answer; });
+        return result;
+    }
+};
+
+[[nodiscard]] DomainStatus domainAt(const std::string &name, Revision revision)
+{
+    DomainStatus status;
+    status.domain = name;
+    MemberUpdate member;
+    member.daemon = DaemonId{7};
+    member.revision = revision;
+    status.members.push_back(member);
+    return status;
+}
+
+} // namespace
+
+Test(execute, filtersKeepOnlyMatchingRowsAndRefuseUnknownColumns)
+{
+    FakeBackend fake;
+    cr_assert_eq(fake.run("show targets").rows.size(), 2U);
+    cr_assert_eq(fake.run("show targets where service = alexandria/lending").rows.size(), 1U);
+    cr_assert_eq(fake.run("show targets where state != draining and tenant = vitilevu").rows.size(),
+                 1U);
+    cr_assert_eq(fake.run("show drains").rows.size(), 1U);
+    const Result refused = fake.run("show daemons where tenant = x and state = y");
+    cr_assert(refused.status == Status::Usage);
+    cr_assert_eq(refused.messages.size(), 1U);
+}
+
+Test(execute, aTenantSeesOnlyItsOwn)
+{
+    FakeBackend fake;
+    cr_assert_eq(fake.run("show targets", "vitilevu").rows.size(), 1U);
+    cr_assert_eq(fake.run("show drains", "vitilevu").rows.size(), 0U);
+}
+
+Test(execute, changeCarriesIdAuthorAndTenant)
+{
+    FakeBackend fake;
+    const Result result = fake.run("drain target alexandria/lending/t1", "alexandria");
+    cr_assert(result.status == Status::Done);
+    cr_assert(fake.proposed.draft.changeId == "c1");
+    cr_assert(fake.proposed.draft.author == "ada");
+    cr_assert(fake.proposed.draft.tenant == "alexandria");
+    cr_assert_eq(fake.proposed.draft.commands.size(), 1U);
+}
+
+Test(execute, outcomesHaveStatusesOfTheirOwn)
+{
+    FakeBackend fake;
+    fake.outcome = ProposalRefused{{"command 1: no such target"}, "c0", Revision{9}};
+    const Result refused = fake.run("drain target a/b/c");
+    cr_assert(refused.status == Status::Refused);
+    cr_assert_eq(refused.messages.size(), 3U);
+    fake.outcome = ProposalUnknown{"the platform does not answer"};
+    cr_assert(fake.run("drain target a/b/c").status == Status::Unknown);
+    cr_assert(fake.run("drain target").status == Status::Usage);
+}
+
+Test(execute, waitEndsWhenEveryDaemonHasTheRevision)
+{
+    FakeBackend fake;
+    fake.statuses = {{domainAt("alx-raml", Revision{3})}, {domainAt("alx-raml", Revision{4})}};
+    cr_assert(fake.run("wait for revision 4 timeout 10s").status == Status::Done);
+}
+
+// A failure domain is cut off: its daemons may still serve by an older revision.
+// The wait must not end well just because nobody there answers; it names the domain.
+Test(execute, waitNamesADomainThatDoesNotAnswer)
+{
+    FakeBackend fake;
+    Member remote;
+    remote.id = DaemonId{9};
+    fake.view->remote["alx-agami"].push_back(remote);
+    fake.statuses = {{domainAt("alx-raml", Revision{4})}};
+    const Result result = fake.run("wait for revision 4 timeout 3s");
+    cr_assert(result.status == Status::Unknown);
+    cr_assert(result.messages.back().find("alx-agami did not answer") != std::string::npos);
+}
+
+Test(execute, changeFateCountsDaemons)
+{
+    FakeBackend fake;
+    ChangeRecord record;
+    record.revision = Revision{4};
+    record.changeId = "c1";
+    record.tenant = "alexandria";
+    fake.changes.push_back(record);
+    fake.statuses = {{domainAt("alx-raml", Revision{4}), domainAt("alx-agami", Revision{3})}};
+    const Result result = fake.run("show change c1");
+    cr_assert(result.status == Status::Done);
+    cr_assert(result.rows.front()[3] == "1" && result.rows.front()[4] == "2");
+    cr_assert(fake.run("show change c1", "vitilevu").status == Status::Unknown);
+    cr_assert(fake.run("show change c2").status == Status::Unknown);
+}
