--- a/src/core/access_key.cpp
+++ b/src/core/access_key.cpp
@@ -24,8 +24,8 @@
 
 bool isAccessKeyHash(std::string_view text) noexcept
 {
-    constexpr std::string_view Digits = "0123456789abcdef";
-    return text.size() == 2 * HashBytes && text.find_first_not_of(Digits) == std::string_view::npos;
+    constexpr std::string_view digits = "0123456789abcdef";
+    return text.size() == 2 * HashBytes && text.find_first_not_of(digits) == std::string_view::npos;
 }
 
 } // namespace baobabtrail
--- a/src/language/impl/wait.cpp
+++ b/src/language/impl/wait.cpp
@@ -91,16 +91,21 @@
                                   + std::to_string(member.revision.value()));
             }
         }
-        for (const auto &[name, members] : m_backend.view()->remote) {
-            const bool heard = std::any_of(domains.begin(), domains.end(), [&](const auto &domain) {
-                return domain.domain == name;
-            });
-            if (!heard && !members.empty())
-                missing.push_back("failure domain " + name + " did not answer");
+        for (const auto &remote : m_backend.view()->remote) {
+            if (remote.second.empty() || answered(remote.first, domains))
+                continue;
+            missing.push_back("failure domain " + remote.first + " did not answer");
         }
         return missing;
     }
 
+    [[nodiscard]] static bool answered(const std::string &name,
+                                       const std::vector<DomainStatus> &domains)
+    {
+        return std::any_of(domains.begin(), domains.end(),
+                           [&](const DomainStatus &domain) { return domain.domain == name; });
+    }
+
     Backend m_backend;
     Wait m_wait;
     std::function<void(Result)> m_done;
