Say in a NotRun whose reservation it ends

A caller whose Reserve was repeated may hold owner A's reservation, with its request running there, when owner B refuses the copy. Both answers were the same message, so the caller would have taken "not run" for a request that runs. The owner now names itself in a NotRun that ends its reservation; a refusal of the Reserve itself names nobody. A new try takes a new request id, so that a late copy of a NotRun can't be taken for the new one.

Ruled out: the whole reservation token in NotRun, 60 bytes for the same effect.

--- a/src/core/messages/request.h
+++ b/src/core/messages/request.h
@@ -58,11 +58,16 @@
 };
 
 /// \brief The request did not run and will not, under this reservation.
+///
+/// A caller that reserved twice may be refused by one daemon while another one's reservation runs:
+/// once it has sent its RequestData, it takes a NotRun only from the owner of that reservation. A
+/// new try takes a new request id.
 struct NotRun
 {
     RequestId request;
     RefusalCause cause = RefusalCause::Overload;
     Duration comeBackAfter{0};
+    DaemonId owner{}; ///< Owner of the reservation that ended; null where none was made.
 };
 
 /// \brief Why nobody can say whether the request ran.
