--- a/tests/support/fake_control_net.h
+++ b/tests/support/fake_control_net.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "core/config/log_keys.h"
-#include "core/config/record_codec.h"
 #include "core/control/control_node.h"
 #include "core/random.h"
+#include "support/control_checks.h"
 #include "support/fake_platform.h"
+#include "support/virtual_time.h"
 
 #include <boost/random/uniform_int_distribution.hpp>
 
@@ -14,7 +14,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <queue>
 #include <set>
 #include <string>
 #include <utility>
@@ -76,9 +75,9 @@
         node.core = std::make_unique<ControlNode>(node.identity, m_settings, m_random());
         node.frozen = false;
         node.published = Revision{};
-        node.disturbedAt = m_now;
+        node.disturbedAt = now();
         ControlActions actions;
-        node.core->start(m_now, actions);
+        node.core->start(now(), actions);
         carryOut(index, actions);
     }
     void startAll()
@@ -98,9 +97,9 @@
     {
         Node &node = m_nodes[index];
         node.frozen = false;
-        node.disturbedAt = m_now;
+        node.disturbedAt = now();
         for (auto &held : std::exchange(node.held, {}))
-            at(m_now, std::move(held));
+            at(now(), std::move(held));
     }
     void restart(NodeIndex index)
     {
@@ -126,11 +125,11 @@
     void cutNode(NodeIndex index)
     {
         m_cutNodes.insert(index);
-        m_cutsChangedAt = m_now;
+        m_cutsChangedAt = now();
     }
     void healAll()
     {
-        m_cutsChangedAt = m_now;
+        m_cutsChangedAt = now();
         m_cuts.clear();
         m_cutNodes.clear();
     }
@@ -139,42 +138,27 @@
                        std::optional<Revision> expected = std::nullopt, bool dryRun = false)
     {
         const ProposalId id{++m_proposals};
-        m_changeIds[id] = draft.changeId;
+        m_checks.proposed(id, draft.changeId);
         deliver(index, Propose{id, std::move(draft), expected, dryRun});
         return id;
     }
     [[nodiscard]] const ProposalOutcome *outcome(ProposalId id) const
     {
-        const auto found = m_outcomes.find(id);
-        return found == m_outcomes.end() ? nullptr : &found->second;
+        return m_checks.outcome(id);
     }
 
     void handle(NodeIndex index, ControlEvent event) { deliver(index, std::move(event)); }
 
-    void run(Duration time)
-    {
-        const TimePoint end = m_now + time;
-        while (!m_events.empty() && m_events.top().time <= end)
-            step();
-        m_now = end;
-    }
+    void run(Duration time) { m_time.run(time); }
     /// \return Whether \a condition came true within \a limit.
     template <typename Condition>
     bool runUntil(Condition condition, Duration limit)
     {
-        const TimePoint end = m_now + limit;
-        while (!condition()) {
-            if (m_events.empty() || m_events.top().time > end) {
-                m_now = end;
-                return condition();
-            }
-            step();
-        }
-        return true;
+        return m_time.runUntil(std::move(condition), limit);
     }
 
     [[nodiscard]] std::size_t size() const { return m_nodes.size(); }
-    [[nodiscard]] TimePoint now() const { return m_now; }
+    [[nodiscard]] TimePoint now() const { return m_time.now(); }
     [[nodiscard]] bool alive(NodeIndex index) const { return m_nodes[index].core != nullptr; }
     [[nodiscard]] ControlNode &node(NodeIndex index) { return *m_nodes[index].core; }
     [[nodiscard]] const NodeIdentity &identity(NodeIndex index) const
@@ -197,38 +181,10 @@
         return total;
     }
 
-    /// \brief Checks the log and every outcome against each other; all that must hold at any time.
+    /// \brief Checks all that must hold at any time. \return What does not.
     [[nodiscard]] std::vector<std::string> violations() const
     {
-        std::vector<std::string> found = m_violations;
-        std::map<std::string, Revision> changes;
-        std::uint64_t last = 0;
-        for (const std::string &key : platform.recreated)
-            found.push_back(key + " was created again");
-        for (const auto &[key, value] : platform.created) {
-            const auto revision = parseLogKey(key);
-            const auto decoded = decodeRecord(value, key);
-            const auto *record = std::get_if<ChangeRecord>(&decoded);
-            if (!revision || !record)
-                continue;
-            if (last != 0 && revision->value() != last + 1)
-                found.push_back("the log has a hole before " + key);
-            last = revision->value();
-            if (!changes.emplace(record->changeId, *revision).second)
-                found.push_back("change " + record->changeId + " is in the log twice");
-        }
-        for (const auto &[id, result] : m_outcomes) {
-            const std::string &change = m_changeIds.at(id);
-            const auto entry = changes.find(change);
-            const auto *accepted = std::get_if<ProposalAccepted>(&result);
-            if (accepted && (entry == changes.end() || entry->second != accepted->revision))
-                found.push_back("change " + change + " was accepted and is not in the log");
-            // Asked again later it may have been accepted; then that was said to someone.
-            const bool refused = std::holds_alternative<ProposalRefused>(result);
-            if (refused && entry != changes.end() && !wasAccepted(change))
-                found.push_back("change " + change + " was refused and is in the log");
-        }
-        return found;
+        return m_checks.violations(platform);
     }
 
 private:
@@ -248,17 +204,6 @@
         TimePoint disturbedAt{}; ///< Last start or end of a pause.
         std::optional<TimePoint> timer;
     };
-    struct Event
-    {
-        TimePoint time;
-        std::uint64_t order;
-        std::function<void()> run;
-
-        friend bool operator<(const Event &a, const Event &b)
-        {
-            return std::pair{a.time, a.order} > std::pair{b.time, b.order};
-        }
-    };
     struct Waiting
     {
         NodeIndex node;
@@ -272,7 +217,7 @@
     void cut(std::pair<std::string, std::string> ends)
     {
         m_cuts.insert(std::move(ends));
-        m_cutsChangedAt = m_now;
+        m_cutsChangedAt = now();
     }
 
     /// \return Whether a change can get to a daemon: from the platform or from one that has it.
@@ -288,48 +233,23 @@
         }
         return false;
     }
-    [[nodiscard]] bool wasAccepted(const std::string &change) const
-    {
-        return std::any_of(m_outcomes.begin(), m_outcomes.end(), [&](const auto &item) {
-            return std::holds_alternative<ProposalAccepted>(item.second)
-                   && m_changeIds.at(item.first) == change;
-        });
-    }
-    [[nodiscard]] bool isInLog(const std::string &change) const
-    {
-        return std::any_of(platform.created.begin(), platform.created.end(), [&](const auto &item) {
-            const auto decoded = decodeRecord(item.second, item.first);
-            const auto *record = std::get_if<ChangeRecord>(&decoded);
-            return parseLogKey(item.first) && record && record->changeId == change;
-        });
-    }
     /// Accepted means in force on every daemon that could hear of it in the last ten seconds.
     void checkInForce(Revision revision)
     {
-        if (m_now - m_cutsChangedAt < InForceWithin)
+        if (now() - m_cutsChangedAt < InForceWithin)
             return;
         for (NodeIndex index = 0; index < m_nodes.size(); ++index) {
             const Node &node = m_nodes[index];
-            if (!node.core || node.frozen || m_now - node.disturbedAt < InForceWithin)
+            if (!node.core || node.frozen || now() - node.disturbedAt < InForceWithin)
                 continue;
             if (node.published < revision && canHear(index))
-                m_violations.push_back("daemon " + std::to_string(index + 1) + " lacks revision "
-                                       + std::to_string(revision.value())
-                                       + " ten seconds after its acceptance");
+                m_checks.add("daemon " + std::to_string(index + 1) + " lacks revision "
+                             + std::to_string(revision.value())
+                             + " ten seconds after its acceptance");
         }
     }
 
-    void at(TimePoint time, std::function<void()> run)
-    {
-        m_events.push({time, ++m_order, std::move(run)});
-    }
-    void step()
-    {
-        Event event = m_events.top();
-        m_events.pop();
-        m_now = std::max(m_now, event.time);
-        event.run();
-    }
+    void at(TimePoint time, std::function<void()> run) { m_time.at(time, std::move(run)); }
     [[nodiscard]] Duration between(Duration low, Duration high)
     {
         return Duration{boost::random::uniform_int_distribution<Duration::rep>{
@@ -363,13 +283,13 @@
             return;
         }
         ControlActions actions;
-        node.core->handle(std::move(event), m_now, unixNow(), actions);
+        node.core->handle(std::move(event), now(), unixNow(), actions);
         carryOut(index, actions);
     }
     void deliverLater(NodeIndex index, Duration wait, ControlEvent event)
     {
         const std::uint64_t life = m_nodes[index].life;
-        at(m_now + wait, [this, index, life, event = std::move(event)]() mutable {
+        at(now() + wait, [this, index, life, event = std::move(event)]() mutable {
             if (m_nodes[index].life == life)
                 deliver(index, std::move(event));
         });
@@ -378,7 +298,7 @@
     {
         return std::chrono::sys_seconds{
             std::chrono::seconds{1'800'000'000}
-            + std::chrono::duration_cast<std::chrono::seconds>(m_now.time_since_epoch())};
+            + std::chrono::duration_cast<std::chrono::seconds>(now().time_since_epoch())};
     }
 
     void carryOut(NodeIndex index, ControlActions &actions)
@@ -398,9 +318,9 @@
     {
         Node &node = m_nodes[index];
         const auto next = node.core->nextTimer();
-        if (!next || (node.timer && *node.timer <= *next && *node.timer > m_now))
+        if (!next || (node.timer && *node.timer <= *next && *node.timer > now()))
             return;
-        const TimePoint due = std::max(*next, m_now);
+        const TimePoint due = std::max(*next, now());
         node.timer = due;
         at(due, [this, index, life = node.life, due] {
             Node &woken = m_nodes[index];
@@ -434,35 +354,22 @@
                                && !m_nodes[peer->second].frozen;
         if (!reachable)
             return deliverLater(index, FetchTimeout, FetchResult{action.records, std::nullopt});
-        RecordsMessage answer = m_nodes[peer->second].core->serve(action.message, m_now);
+        RecordsMessage answer = m_nodes[peer->second].core->serve(action.message, now());
         deliverLater(index, between(1ms, 3ms), FetchResult{action.records, std::move(answer)});
     }
     void on(NodeIndex index, PublishConfig &action)
     {
         Node &node = m_nodes[index];
-        const Revision revision = action.config->revision;
-        const std::string who = "daemon " + std::to_string(index + 1);
-        if (revision < node.published || (revision == node.published && !revision.isNull()))
-            m_violations.push_back(who + " went from revision "
-                                   + std::to_string(node.published.value()) + " to "
-                                   + std::to_string(revision.value()));
-        node.published = revision;
-        const auto [known, first] = m_configs.emplace(revision, action.config);
-        if (!first && !(*known->second == *action.config))
-            m_violations.push_back(who + " has another configuration at revision "
-                                   + std::to_string(revision.value()));
+        m_checks.published("daemon " + std::to_string(index + 1), node.published, action.config);
+        node.published = action.config->revision;
     }
     void on(NodeIndex, PublishView &) {}
     void on(NodeIndex, ProposalDone &action)
     {
         if (const auto *accepted = std::get_if<ProposalAccepted>(&action.outcome))
-            at(m_now + InForceWithin,
+            at(now() + InForceWithin,
                [this, revision = accepted->revision] { checkInForce(revision); });
-        const std::string &change = m_changeIds.at(action.proposal);
-        if (std::holds_alternative<ProposalRefused>(action.outcome) && isInLog(change))
-            m_violations.push_back("change " + change + " was in the log when it was refused");
-        if (!m_outcomes.emplace(action.proposal, std::move(action.outcome)).second)
-            m_violations.push_back("a proposal got two outcomes");
+        m_checks.done(action.proposal, std::move(action.outcome), platform);
     }
     void on(NodeIndex, Notice &action) { notices.push_back(std::move(action)); }
 
@@ -478,7 +385,7 @@
                 deliverLater(index, wait, PlatformReply{call, std::move(result)});
         };
         const auto perform = [this, request = action.request] { return platform.perform(request); };
-        const auto afterWrite = [this] { at(m_now, [this] { answerWatches(); }); };
+        const auto afterWrite = [this] { at(now(), [this] { answerWatches(); }); };
 
         switch (how) {
         case PlatformFault::Down:
@@ -490,7 +397,7 @@
             afterWrite();
             return reply(CallTimeout, PlatformFailure{"timed out", Duration{0}});
         case PlatformFault::WriteDelayed:
-            at(m_now + CallTimeout + 2s, [=] {
+            at(now() + CallTimeout + 2s, [=] {
                 (void)perform();
                 afterWrite();
             });
@@ -501,7 +408,7 @@
         if (const auto *watch = std::get_if<WatchObjects>(&action.request))
             return wait(index, action.call, *watch, how);
         const Duration way = how == PlatformFault::Slow ? 1200ms : between(1ms, 4ms);
-        at(m_now + way, [=] {
+        at(now() + way, [=] {
             PlatformResult result = perform();
             afterWrite();
             reply(way, std::move(result));
@@ -510,11 +417,11 @@
 
     void wait(NodeIndex index, CallId call, const WatchObjects &watch, PlatformFault how)
     {
-        const std::uint64_t id = ++m_order;
+        const std::uint64_t id = ++m_watches;
         m_waiting.emplace(
-            id, Waiting{index, m_nodes[index].life, call, watch, how, m_now + watch.wait});
-        at(m_now + 2ms, [this] { answerWatches(); });
-        at(m_now + watch.wait, [this, id] {
+            id, Waiting{index, m_nodes[index].life, call, watch, how, now() + watch.wait});
+        at(now() + 2ms, [this] { answerWatches(); });
+        at(now() + watch.wait, [this, id] {
             auto over = m_waiting.extract(id);
             if (!over)
                 return;
@@ -550,11 +457,10 @@
 
     ControlSettings m_settings;
     Random m_random;
-    TimePoint m_now{1s};
-    std::uint64_t m_order = 0;
+    VirtualTime m_time;
+    std::uint64_t m_watches = 0;
     std::uint64_t m_incarnations = 0;
     std::uint64_t m_proposals = 0;
-    std::priority_queue<Event> m_events;
     std::vector<Node> m_nodes;
     std::map<Endpoint, NodeIndex> m_byAddress;
     std::map<Endpoint, NodeIndex> m_byRecords;
@@ -563,10 +469,7 @@
     std::set<std::string> m_domains;
     TimePoint m_cutsChangedAt{};
     std::map<std::uint64_t, Waiting> m_waiting;
-    std::map<ProposalId, std::string> m_changeIds;
-    std::map<ProposalId, ProposalOutcome> m_outcomes;
-    std::map<Revision, ConfigPtr> m_configs;
-    std::vector<std::string> m_violations;
+    ControlChecks m_checks;
 };
 
 } // namespace baobabtrail::test
--- /dev/null
+++ b/tests/support/virtual_time.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <utility>
+
+namespace baobabtrail::test {
+
+/// \brief Runs events in the order of their times, without waiting.
+class VirtualTime
+{
+public:
+    [[nodiscard]] TimePoint now() const { return m_now; }
+
+    void at(TimePoint time, std::function<void()> run)
+    {
+        m_events.push({time, ++m_order, std::move(run)});
+    }
+
+    void run(Duration time)
+    {
+        const TimePoint end = m_now + time;
+        while (!m_events.empty() && m_events.top().time <= end)
+            step();
+        m_now = end;
+    }
+
+    /// \return Whether \a condition came true within \a limit.
+    template <typename Condition>
+    bool runUntil(Condition condition, Duration limit)
+    {
+        const TimePoint end = m_now + limit;
+        while (!condition()) {
+            if (m_events.empty() || m_events.top().time > end) {
+                m_now = end;
+                return condition();
+            }
+            step();
+        }
+        return true;
+    }
+
+private:
+    struct Event
+    {
+        TimePoint time;
+        std::uint64_t order;
+        std::function<void()> run;
+
+        friend bool operator<(const Event &a, const Event &b)
+        {
+            return std::pair{a.time, a.order} > std::pair{b.time, b.order};
+        }
+    };
+
+    void step()
+    {
+        Event event = m_events.top();
+        m_events.pop();
+        m_now = std::max(m_now, event.time);
+        event.run();
+    }
+
+    TimePoint m_now{1s};
+    std::uint64_t m_order = 0;
+    std::priority_queue<Event> m_events;
+};
+
+} // namespace baobabtrail::test
