--- a/tests/control/distribute_test.cpp
+++ b/tests/control/distribute_test.cpp
@@ -45,12 +45,12 @@
     }
     cells.push_back({"list slow", platformFault(CallKind::List, Slow)});
     cells.push_back({"notices lost", [](Cluster &net) {
-                         net.drop = [](std::size_t, const PeerMessage &message) {
+                         net.drop = [](std::size_t, std::size_t, const PeerMessage &message) {
                              return std::holds_alternative<RevisionNotice>(message);
                          };
                      }});
     cells.push_back({"pings lost", [](Cluster &net) {
-                         net.drop = [](std::size_t, const PeerMessage &message) {
+                         net.drop = [](std::size_t, std::size_t, const PeerMessage &message) {
                              return std::holds_alternative<Ping>(message);
                          };
                      }});
@@ -60,12 +60,13 @@
                      }});
     cells.push_back({"watches silent and notices lost", [&](Cluster &net) {
                          platformFault(CallKind::Watch, WatchSilent)(net);
-                         net.drop = [](std::size_t, const PeerMessage &message) {
+                         net.drop = [](std::size_t, std::size_t, const PeerMessage &message) {
                              return std::holds_alternative<RevisionNotice>(message);
                          };
                      }});
     cells.push_back({"no peer reachable", [](Cluster &net) {
-                         net.drop = [](std::size_t, const PeerMessage &) { return true; };
+                         net.drop
+                             = [](std::size_t, std::size_t, const PeerMessage &) { return true; };
                      }});
     for (const Cell &cell : cells) {
         for (const std::size_t perDomain : {3, 8}) {
@@ -151,7 +152,7 @@
             Cluster net{domain + 1};
             net.cutPlatform(Cluster::Domains[domain]);
             if (noticesLost)
-                net.drop = [](std::size_t, const PeerMessage &message) {
+                net.drop = [](std::size_t, std::size_t, const PeerMessage &message) {
                     return std::holds_alternative<RevisionNotice>(message);
                 };
             net.run(60s);
--- a/tests/support/fake_control_net.h
+++ b/tests/support/fake_control_net.h
@@ -3,7 +3,9 @@
 #include "core/control/control_node.h"
 #include "core/random.h"
 #include "support/control_checks.h"
+#include "support/fake_cuts.h"
 #include "support/fake_platform.h"
+#include "support/fake_watches.h"
 #include "support/virtual_time.h"
 
 #include <boost/random/uniform_int_distribution.hpp>
@@ -42,7 +44,7 @@
     std::function<void(NodeIndex, const ControlAction &)> observe;
     std::uint32_t lossPercent = 0; ///< Of datagrams.
     /// Whether a datagram from this node is lost, beside the loss at random.
-    std::function<bool(NodeIndex, const PeerMessage &)> drop;
+    std::function<bool(NodeIndex from, NodeIndex to, const PeerMessage &)> drop;
     /// Whether a fetch by this node gets no answer.
     std::function<bool(NodeIndex)> dropFetch;
     std::array<std::uint64_t, CallKindCount> calls{};
@@ -54,6 +56,7 @@
         m_nodes.emplace_back();
         Node &node = m_nodes.back();
         const auto number = static_cast<std::uint32_t>(index + 1);
+        m_cuts.addNode(index, domain);
         node.identity = {DaemonId{number},
                          {},
                          domain,
@@ -120,19 +123,10 @@
             {identity.daemon, identity.domain, identity.address, identity.records, false});
     }
 
-    void cutDomains(const std::string &a, const std::string &b) { cut({a, b}); }
-    void cutPlatform(const std::string &domain) { cut({domain, PlatformName}); }
-    void cutNode(NodeIndex index)
-    {
-        m_cutNodes.insert(index);
-        m_cutsChangedAt = now();
-    }
-    void healAll()
-    {
-        m_cutsChangedAt = now();
-        m_cuts.clear();
-        m_cutNodes.clear();
-    }
+    void cutDomains(const std::string &a, const std::string &b) { m_cuts.cutDomains(a, b, now()); }
+    void cutPlatform(const std::string &domain) { m_cuts.cutPlatform(domain, now()); }
+    void cutNode(NodeIndex index) { m_cuts.cutNode(index, now()); }
+    void healAll() { m_cuts.healAll(now()); }
 
     ProposalId propose(NodeIndex index, ChangeRecord draft,
                        std::optional<Revision> expected = std::nullopt, bool dryRun = false)
@@ -188,7 +182,6 @@
     }
 
 private:
-    static constexpr const char *PlatformName = "the platform";
     static constexpr Duration CallTimeout = 3s;
     static constexpr Duration FetchTimeout = 2s;
     static constexpr Duration InForceWithin = 10s;
@@ -204,31 +197,15 @@
         TimePoint disturbedAt{}; ///< Last start or end of a pause.
         std::optional<TimePoint> timer;
     };
-    struct Waiting
-    {
-        NodeIndex node;
-        std::uint64_t life;
-        CallId call;
-        WatchObjects watch;
-        PlatformFault fault;
-        TimePoint until;
-    };
-
-    void cut(std::pair<std::string, std::string> ends)
-    {
-        m_cuts.insert(std::move(ends));
-        m_cutsChangedAt = now();
-    }
-
     /// \return Whether a change can get to a daemon: from the platform or from one that has it.
     [[nodiscard]] bool canHear(NodeIndex index) const
     {
-        if (reachesPlatform(index))
+        if (m_cuts.reachesPlatform(index))
             return true;
         for (NodeIndex peer = 0; peer < m_nodes.size(); ++peer) {
             const Node &node = m_nodes[peer];
             const bool speaks = peer != index && node.core && !node.frozen;
-            if (speaks && reachesPlatform(peer) && connected(index, peer))
+            if (speaks && m_cuts.reachesPlatform(peer) && m_cuts.connected(index, peer))
                 return true;
         }
         return false;
@@ -236,7 +213,7 @@
     /// Accepted means in force on every daemon that could hear of it in the last ten seconds.
     void checkInForce(Revision revision)
     {
-        if (now() - m_cutsChangedAt < InForceWithin)
+        if (now() - m_cuts.changedAt() < InForceWithin)
             return;
         for (NodeIndex index = 0; index < m_nodes.size(); ++index) {
             const Node &node = m_nodes[index];
@@ -255,20 +232,6 @@
         return Duration{boost::random::uniform_int_distribution<Duration::rep>{
             low.count(), high.count()}(m_random)};
     }
-    [[nodiscard]] bool connected(NodeIndex a, NodeIndex b) const
-    {
-        const std::string &from = m_nodes[a].identity.domain;
-        const std::string &to = m_nodes[b].identity.domain;
-        if (m_cutNodes.contains(a) || m_cutNodes.contains(b))
-            return false;
-        return !m_cuts.contains({from, to}) && !m_cuts.contains({to, from});
-    }
-    [[nodiscard]] bool reachesPlatform(NodeIndex index) const
-    {
-        return !m_cutNodes.contains(index)
-               && !m_cuts.contains({m_nodes[index].identity.domain, PlatformName});
-    }
-
     void deliver(NodeIndex index, ControlEvent event)
     {
         Node &node = m_nodes[index];
@@ -334,9 +297,9 @@
     void on(NodeIndex index, ControlSendToPeer &action)
     {
         const auto peer = m_byAddress.find(action.peer);
-        if (peer == m_byAddress.end() || !connected(index, peer->second))
+        if (peer == m_byAddress.end() || !m_cuts.connected(index, peer->second))
             return;
-        if (drop && drop(index, action.message))
+        if (drop && drop(index, peer->second, action.message))
             return;
         if (lossPercent > 0 && between(1us, 100us).count() <= lossPercent)
             return;
@@ -350,8 +313,8 @@
         const auto peer = m_byRecords.find(action.records);
         const bool dropped = dropFetch && dropFetch(index);
         const bool reachable = !dropped && peer != m_byRecords.end()
-                               && connected(index, peer->second) && m_nodes[peer->second].core
-                               && !m_nodes[peer->second].frozen;
+                               && m_cuts.connected(index, peer->second)
+                               && m_nodes[peer->second].core && !m_nodes[peer->second].frozen;
         if (!reachable)
             return deliverLater(index, FetchTimeout, FetchResult{action.records, std::nullopt});
         RecordsMessage answer = m_nodes[peer->second].core->serve(action.message, now());
@@ -377,7 +340,7 @@
     {
         ++calls.at(static_cast<std::size_t>(kindOf(action.request)));
         PlatformFault how = fault ? fault(index, action.request) : PlatformFault::None;
-        if (!reachesPlatform(index))
+        if (!m_cuts.reachesPlatform(index))
             how = PlatformFault::Down;
         const std::uint64_t life = m_nodes[index].life;
         const auto reply = [=, this, call = action.call](Duration wait, PlatformResult result) {
@@ -385,7 +348,8 @@
                 deliverLater(index, wait, PlatformReply{call, std::move(result)});
         };
         const auto perform = [this, request = action.request] { return platform.perform(request); };
-        const auto afterWrite = [this] { at(now(), [this] { answerWatches(); }); };
+        const auto afterWrite
+            = [this] { at(now(), [this] { m_watches.answerChanged(platform); }); };
 
         switch (how) {
         case PlatformFault::Down:
@@ -417,58 +381,31 @@
 
     void wait(NodeIndex index, CallId call, const WatchObjects &watch, PlatformFault how)
     {
-        const std::uint64_t id = ++m_watches;
-        m_waiting.emplace(
-            id, Waiting{index, m_nodes[index].life, call, watch, how, now() + watch.wait});
-        at(now() + 2ms, [this] { answerWatches(); });
-        at(now() + watch.wait, [this, id] {
-            auto over = m_waiting.extract(id);
-            if (!over)
+        const std::uint64_t life = m_nodes[index].life;
+        const auto answer = [this, index, life, call](ObjectList list) {
+            if (m_nodes[index].life != life)
                 return;
-            answer(over.mapped(), ObjectList{{}, over.mapped().watch.after});
-        });
-    }
-    void answerWatches()
-    {
-        for (auto entry = m_waiting.begin(); entry != m_waiting.end();) {
-            const Waiting waiting = entry->second;
-            ObjectList list = platform.newerThan(waiting.watch);
-            if (waiting.fault == PlatformFault::WatchSkips && !list.objects.empty())
-                list.objects.erase(list.objects.begin());
-            const bool silent = list.objects.empty() || waiting.fault == PlatformFault::WatchSilent
-                                || !reachesPlatform(waiting.node);
-            if (silent) {
-                ++entry;
-                continue;
-            }
-            entry = m_waiting.erase(entry);
-            answer(waiting, std::move(list));
-        }
-    }
-    void answer(const Waiting &waiting, ObjectList list)
-    {
-        if (m_nodes[waiting.node].life != waiting.life)
-            return;
-        PlatformResult result = std::move(list);
-        if (!reachesPlatform(waiting.node))
-            result = PlatformFailure{"timed out", Duration{0}};
-        deliverLater(waiting.node, 2ms, PlatformReply{waiting.call, std::move(result)});
+            if (m_cuts.reachesPlatform(index))
+                return deliverLater(index, 2ms, PlatformReply{call, std::move(list)});
+            deliverLater(index, CallTimeout,
+                         PlatformReply{call, PlatformFailure{"timed out", Duration{0}}});
+        };
+        const std::uint64_t number = m_watches.add(watch, how, answer);
+        at(now() + 2ms, [this] { m_watches.answerChanged(platform); });
+        at(now() + watch.wait, [this, number] { m_watches.expire(number); });
     }
 
     ControlSettings m_settings;
     Random m_random;
     VirtualTime m_time;
-    std::uint64_t m_watches = 0;
+    FakeCuts m_cuts;
+    FakeWatches m_watches;
     std::uint64_t m_incarnations = 0;
     std::uint64_t m_proposals = 0;
     std::vector<Node> m_nodes;
     std::map<Endpoint, NodeIndex> m_byAddress;
     std::map<Endpoint, NodeIndex> m_byRecords;
-    std::set<std::pair<std::string, std::string>> m_cuts;
-    std::set<NodeIndex> m_cutNodes;
     std::set<std::string> m_domains;
-    TimePoint m_cutsChangedAt{};
-    std::map<std::uint64_t, Waiting> m_waiting;
     ControlChecks m_checks;
 };
 
