--- /dev/null
+++ b/bench/control.cpp
@@ -0,0 +1,255 @@
+// Costs and delays of the control side as functions of the number of daemons and of changes, in
+// virtual time: platform calls and bytes are exact, delays follow from the latencies of the fake.
+
+#include "tests/support/change_builder.h"
+#include "tests/support/fake_control_net.h"
+#include "wire/codec.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/mean.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <gflags/gflags.h>
+#include <malloc.h>
+
+#include <algorithm>
+#include <chrono>
+#include <iomanip>
+#include <iostream>
+#include <vector>
+
+DEFINE_uint64(largest, 630, "Leave out sizes with more daemons than this.");
+DEFINE_uint64(seed, 1, "Seed of all that is random.");
+
+namespace {
+
+using namespace baobabtrail;
+using namespace baobabtrail::test;
+namespace acc = boost::accumulators;
+
+using MeanAndMax = acc::accumulator_set<double, acc::stats<acc::tag::mean, acc::tag::max>>;
+
+constexpr std::size_t DatagramHeaderBytes = 28; ///< IPv4 and UDP.
+constexpr std::size_t FetchOverheadBytes = 500; ///< TCP and nng set-up of one fetch, both ways.
+constexpr Duration Settling = 40s;
+constexpr Duration Quiet = 30s;
+constexpr std::size_t Changes = 8;
+constexpr Duration BetweenChanges = 10s;
+
+struct Size
+{
+    std::size_t domains;
+    std::size_t perDomain;
+};
+
+[[nodiscard]] KeyRing keys()
+{
+    return KeyRing{std::vector<std::byte>(32, std::byte{1}), KeyEpoch{1}};
+}
+
+/// \brief Counts what each daemon sends and receives to and from other daemons, in bytes.
+class ByteCounter
+{
+public:
+    explicit ByteCounter(FakeControlNet &net)
+        : m_net(net)
+        , m_bytes(net.size(), 0)
+    {
+        net.observe = [this](std::size_t node, const ControlAction &action) {
+            if (const auto *sent = std::get_if<ControlSendToPeer>(&action))
+                countDatagram(node, *sent);
+            if (const auto *fetch = std::get_if<FetchFromPeer>(&action))
+                m_bytes[node] += FetchOverheadBytes / 2 + wire::encode(fetch->message, m_keys).size();
+        };
+        net.observeAnswer = [this](std::size_t server, std::size_t, const RecordsMessage &answer) {
+            m_bytes[server] += FetchOverheadBytes / 2 + wire::encode(answer, m_keys).size();
+        };
+    }
+
+    void reset() { std::fill(m_bytes.begin(), m_bytes.end(), 0); }
+
+    /// \return Bytes sent a second by each daemon. As many are received, on the mean.
+    [[nodiscard]] MeanAndMax sentPerSecond(Duration time) const
+    {
+        MeanAndMax result;
+        for (const std::uint64_t bytes : m_bytes)
+            result(static_cast<double>(bytes) / std::chrono::duration<double>(time).count());
+        return result;
+    }
+
+private:
+    void countDatagram(std::size_t node, const ControlSendToPeer &sent)
+    {
+        const NodeIdentity &from = m_net.identity(node);
+        const PeerDatagram datagram{from.daemon, from.incarnation, sent.message};
+        m_bytes[node] += DatagramHeaderBytes + wire::encode(datagram, m_keys).size();
+    }
+
+    FakeControlNet &m_net;
+    KeyRing m_keys = keys();
+    std::vector<std::uint64_t> m_bytes;
+};
+
+/// \brief Counts events and the time that handling them took.
+class EventTimer
+{
+public:
+    explicit EventTimer(FakeControlNet &net)
+    {
+        net.around = [this](std::size_t, const std::function<void()> &handle) {
+            const auto begin = std::chrono::steady_clock::now();
+            handle();
+            m_spent += std::chrono::steady_clock::now() - begin;
+            ++m_events;
+        };
+    }
+
+    void reset() { *this = EventTimer{}; }
+    [[nodiscard]] std::uint64_t events() const { return m_events; }
+    [[nodiscard]] std::chrono::nanoseconds spent() const { return m_spent; }
+
+private:
+    EventTimer() = default;
+
+    std::uint64_t m_events = 0;
+    std::chrono::nanoseconds m_spent{0};
+};
+
+/// \brief Delays in milliseconds; prints the median and the largest.
+class Delays
+{
+public:
+    void add(Duration delay) { m_delays.push_back(delay); }
+    [[nodiscard]] double median()
+    {
+        if (m_delays.empty())
+            return 0;
+        std::sort(m_delays.begin(), m_delays.end());
+        return milliseconds(m_delays[m_delays.size() / 2]);
+    }
+    [[nodiscard]] double largest() const
+    {
+        if (m_delays.empty())
+            return 0;
+        return milliseconds(*std::max_element(m_delays.begin(), m_delays.end()));
+    }
+
+private:
+    [[nodiscard]] static double milliseconds(Duration delay)
+    {
+        return std::chrono::duration<double, std::milli>(delay).count();
+    }
+    std::vector<Duration> m_delays;
+};
+
+void waitForEach(FakeControlNet &net, Duration limit, Delays &delays,
+                 const std::function<bool(std::size_t)> &reached)
+{
+    std::vector<bool> done(net.size(), false);
+    const TimePoint begin = net.now();
+    std::size_t left = net.size();
+    while (left > 0 && net.now() - begin < limit) {
+        net.run(1ms);
+        for (std::size_t node = 0; node < net.size(); ++node) {
+            if (done[node] || !reached(node))
+                continue;
+            done[node] = true;
+            --left;
+            delays.add(net.now() - begin);
+        }
+    }
+    if (left > 0)
+        std::cout << "  " << left << " daemons did not get there in time\n";
+}
+
+[[nodiscard]] double heapOfOneDaemon(FakeControlNet &net, std::size_t node)
+{
+    const std::size_t before = mallinfo2().uordblks;
+    net.kill(node);
+    return static_cast<double>(before - mallinfo2().uordblks) / 1024;
+}
+
+void measure(const Size &size)
+{
+    FakeControlNet net{FLAGS_seed};
+    for (std::size_t domain = 0; domain < size.domains; ++domain) {
+        for (std::size_t i = 0; i < size.perDomain; ++i)
+            net.add("domain-" + std::to_string(domain));
+    }
+    ByteCounter bytes{net};
+    EventTimer timer{net};
+    net.startAll();
+    const std::uint64_t startCalls = net.totalCalls();
+    net.run(Settling);
+    const std::uint64_t settlingCalls = net.totalCalls() - startCalls;
+    net.propose(0, declaration());
+    net.run(5s);
+
+    bytes.reset();
+    timer.reset();
+    const std::uint64_t quietBegin = net.totalCalls();
+    net.run(Quiet);
+    const double quietCalls = static_cast<double>(net.totalCalls() - quietBegin)
+                              / std::chrono::duration<double>(Quiet).count();
+    const MeanAndMax quietBytes = bytes.sentPerSecond(Quiet);
+    const auto nodes = static_cast<double>(net.size());
+    const double seconds = std::chrono::duration<double>(Quiet).count();
+    const double cpu = static_cast<double>(timer.spent().count()) / nodes / seconds / 1e9;
+    const double perEvent
+        = static_cast<double>(timer.spent().count()) / static_cast<double>(timer.events());
+
+    bytes.reset();
+    Delays inForce;
+    const std::uint64_t changeBegin = net.totalCalls();
+    const TimePoint changesBegin = net.now();
+    for (std::size_t i = 0; i < Changes; ++i) {
+        const TimePoint begin = net.now();
+        const Revision next{net.revision(0).value() + 1};
+        net.propose(net.size() / 2, change("c" + std::to_string(i),
+                                           {SetWeight{targetName("lending", "t1"), 50}}));
+        waitForEach(net, BetweenChanges, inForce,
+                    [&](std::size_t node) { return net.revision(node) >= next; });
+        net.run(BetweenChanges - (net.now() - begin));
+    }
+    const Duration changeTime = net.now() - changesBegin;
+    const double changeSeconds = std::chrono::duration<double>(changeTime).count();
+    const double callsPerChange
+        = (static_cast<double>(net.totalCalls() - changeBegin) - quietCalls * changeSeconds)
+          / static_cast<double>(Changes);
+    const MeanAndMax changeBytes = bytes.sentPerSecond(changeTime);
+
+    const double heap = heapOfOneDaemon(net, 1);
+    const DaemonId dead = net.identity(1).daemon;
+    Delays detected;
+    waitForEach(net, 20s, detected, [&](std::size_t node) {
+        const bool sees = net.alive(node) && node < size.perDomain;
+        return !sees || !net.node(node).view()->find(dead);
+    });
+
+    std::cout << std::fixed << std::setprecision(1) << "| " << size.domains << " × "
+              << size.perDomain << " | " << quietCalls << " | " << callsPerChange << " | "
+              << static_cast<double>(settlingCalls) / nodes << " | " << acc::mean(quietBytes)
+              << " / " << acc::max(quietBytes) << " | "
+              << (acc::mean(changeBytes) - acc::mean(quietBytes)) * changeSeconds / Changes << " / "
+              << (acc::max(changeBytes) - acc::max(quietBytes)) * changeSeconds / Changes << " | "
+              << inForce.median() << " / " << inForce.largest() << " | " << detected.largest()
+              << " | " << perEvent / 1000 << " | " << std::setprecision(3) << cpu * 100 << " | "
+              << std::setprecision(0) << heap << " |\n"
+              << std::flush;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    std::cout << "| domains × daemons | calls/s, quiet | calls per change | calls per start | "
+                 "bytes/s sent, mean / max | bytes sent per change, mean / max | "
+                 "in force, ms, median / max | death seen by all, ms | µs per event | % of a core | "
+                 "KiB per daemon |\n|---|---|---|---|---|---|---|---|---|---|---|\n";
+    for (const Size &size : {Size{3, 3}, Size{3, 8}, Size{3, 20}, Size{1, 60}, Size{1, 105},
+                             Size{6, 105}}) {
+        if (size.domains * size.perDomain <= FLAGS_largest)
+            measure(size);
+    }
+}
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "support/change_builder.h"
-#include "support/fake_control_net.h"
+#include "change_builder.h"
+#include "fake_control_net.h"
 
 #include <string>
 
--- a/tests/support/control_checks.h
+++ b/tests/support/control_checks.h
@@ -3,7 +3,7 @@
 #include "core/config/log_keys.h"
 #include "core/config/record_codec.h"
 #include "core/control/actions.h"
-#include "support/fake_platform.h"
+#include "fake_platform.h"
 
 #include <algorithm>
 #include <map>
--- a/tests/support/fake_control_net.h
+++ b/tests/support/fake_control_net.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "control_checks.h"
 #include "core/control/control_node.h"
 #include "core/random.h"
-#include "support/control_checks.h"
-#include "support/fake_cuts.h"
-#include "support/fake_platform.h"
-#include "support/fake_watches.h"
-#include "support/virtual_time.h"
+#include "fake_cuts.h"
+#include "fake_platform.h"
+#include "fake_watches.h"
+#include "virtual_time.h"
 
 #include <boost/random/uniform_int_distribution.hpp>
 
@@ -49,6 +49,10 @@
     std::function<bool(NodeIndex)> dropFetch;
     std::array<std::uint64_t, CallKindCount> calls{};
     std::vector<Notice> notices;
+    /// Sees what a peer answers to a fetch.
+    std::function<void(NodeIndex server, NodeIndex asker, const RecordsMessage &)> observeAnswer;
+    /// Runs the handling of one event by a node; for measurements.
+    std::function<void(NodeIndex, const std::function<void()> &)> around;
 
     NodeIndex add(const std::string &domain)
     {
@@ -246,7 +250,12 @@
             return;
         }
         ControlActions actions;
-        node.core->handle(std::move(event), now(), unixNow(), actions);
+        const auto handleEvent
+            = [&] { node.core->handle(std::move(event), now(), unixNow(), actions); };
+        if (around)
+            around(index, handleEvent);
+        else
+            handleEvent();
         carryOut(index, actions);
     }
     void deliverLater(NodeIndex index, Duration wait, ControlEvent event)
@@ -318,6 +327,8 @@
         if (!reachable)
             return deliverLater(index, FetchTimeout, FetchResult{action.records, std::nullopt});
         RecordsMessage answer = m_nodes[peer->second].core->serve(action.message, now());
+        if (observeAnswer)
+            observeAnswer(peer->second, index, answer);
         deliverLater(index, between(1ms, 3ms), FetchResult{action.records, std::move(answer)});
     }
     void on(NodeIndex index, PublishConfig &action)
--- a/tests/support/fake_watches.h
+++ b/tests/support/fake_watches.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "support/fake_platform.h"
+#include "fake_platform.h"
 
 #include <functional>
 #include <map>
