--- a/tests/support/virtual_time.h
+++ b/tests/support/virtual_time.h
@@ -6,50 +6,77 @@
 #include <cstdint>
 #include <functional>
 #include <queue>
-#include <tuple>
-#include <vector>
+#include <utility>
 
-namespace baobabtrail::fake {
+namespace baobabtrail::test {
 
-/// \brief A clock that moves from one scheduled call to the next.
+/// \brief Runs events in the order of their times, without waiting; events of one time run in the
+/// order in which they were added.
 class VirtualTime
 {
 public:
     [[nodiscard]] TimePoint now() const noexcept { return m_now; }
 
-    void at(TimePoint when, std::function<void()> call)
+    void at(TimePoint time, std::function<void()> run)
     {
-        m_calls.push({std::max(when, m_now), m_next++, std::move(call)});
+        m_events.push({std::max(time, m_now), ++m_order, std::move(run)});
     }
-    void after(Duration wait, std::function<void()> call) { at(m_now + wait, std::move(call)); }
+    void after(Duration wait, std::function<void()> run) { at(m_now + wait, std::move(run)); }
+
+    void run(Duration time) { runUntil(m_now + time); }
 
     void runUntil(TimePoint end)
     {
-        while (!m_calls.empty() && m_calls.top().when <= end) {
-            const Call next = m_calls.top();
-            m_calls.pop();
-            m_now = next.when;
-            next.call();
-        }
+        while (!m_events.empty() && m_events.top().time <= end)
+            step();
         m_now = end;
     }
 
+    /// \return Whether \a condition came true within \a limit.
+    template <typename Condition>
+    bool runUntil(Condition condition, Duration limit)
+    {
+        const TimePoint end = m_now + limit;
+        while (!condition()) {
+            if (m_events.empty() || m_events.top().time > end) {
+                m_now = end;
+                return condition();
+            }
+            step();
+        }
+        return true;
+    }
+
 private:
-    struct Call
+    struct Event
     {
-        TimePoint when;
-        std::uint64_t order = 0;
-        std::function<void()> call;
+        TimePoint time;
+        std::uint64_t order;
+        std::function<void()> run;
 
-        friend bool operator<(const Call &a, const Call &b) noexcept
+        friend bool operator<(const Event &a, const Event &b) noexcept
         {
-            return std::tie(b.when, b.order) < std::tie(a.when, a.order);
+            return std::pair{a.time, a.order} > std::pair{b.time, b.order};
         }
     };
 
+    void step()
+    {
+        Event event = m_events.top();
+        m_events.pop();
+        m_now = event.time;
+        event.run();
+    }
+
     TimePoint m_now{Duration{1h}};
-    std::uint64_t m_next = 0;
-    std::priority_queue<Call> m_calls;
+    std::uint64_t m_order = 0;
+    std::priority_queue<Event> m_events;
 };
 
+} // namespace baobabtrail::test
+
+namespace baobabtrail::fake {
+
+using test::VirtualTime;
+
 } // namespace baobabtrail::fake
