Read the daemon's settings with every finding at once

Settings are JSON with comments. ObjectReader leaves a wrong value's output as it was and reads on, so one run reports every wrong, missing or unknown key by its path, an unknown one with the known key that is spelled like it. Boost.JSON gives no position of valid values: syntax errors have line and column, the rest key paths.

Secrets are refused where group or others may read or write the file; the mode is that of the opened file. Seen: without that check secretThatOthersMayReadIsRefused fails.

A slow password hash was ruled out: keys are random, and one slow hash for each request would let anyone load the thread that forwards datagrams.

--- /dev/null
+++ b/src/daemon/admin/access_keys.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "core/config/config.h"
+#include "language/backend.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace baobabtrail::daemon {
+
+/// \brief Hash by which an access key is known: BLAKE2b-256, 64 hexadecimal digits.
+///
+/// Keys are random texts, not passwords, so a fast hash is enough.
+[[nodiscard]] std::string accessKeyHash(std::string_view key);
+
+/// \return Whether the text has the form of accessKeyHash().
+[[nodiscard]] bool isAccessKeyHash(std::string_view text) noexcept;
+
+/// \brief Says who an access key belongs to.
+/// \param key What the request carries.
+/// \param operatorHashes Hashes of the operators' keys.
+/// \param config Holds the hashes of the tenants' keys.
+/// \return The caller, or nothing where nobody has the key.
+[[nodiscard]] std::optional<language::Caller>
+findCaller(std::string_view key, const std::vector<std::string> &operatorHashes,
+           const Config &config);
+
+} // namespace baobabtrail::daemon
--- /dev/null
+++ b/src/daemon/settings/object_reader.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "core/endpoint.h"
+#include "core/time.h"
+#include "daemon/settings/findings.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/value.hpp>
+
+#include <concepts>
+#include <limits>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace baobabtrail::daemon {
+
+enum class Presence { Required, Optional };
+
+/// \brief Reads the keys of a JSON object into typed values and notes all that is wrong.
+///
+/// A value that is wrong leaves its output as it was, so that reading goes on and one run reports
+/// everything.
+///
+/// \code
+/// ObjectReader reader{object, "control", findings};
+/// reader.duration("pingPeriod", settings.pingPeriod, 10ms, 1min);
+/// reader.finish();
+/// \endcode
+class ObjectReader
+{
+public:
+    ObjectReader(const boost::json::object &object, std::string path, Findings &findings);
+
+    void text(std::string_view key, std::string &out, Presence presence = Presence::Optional);
+    void endpoint(std::string_view key, Endpoint &out, Presence presence = Presence::Optional);
+    void duration(std::string_view key, Duration &out, Duration least, Duration most);
+
+    template <std::unsigned_integral Number>
+    void number(std::string_view key, Number &out, std::uint64_t least,
+                std::uint64_t most = std::numeric_limits<Number>::max(),
+                Presence presence = Presence::Optional)
+    {
+        std::uint64_t value = out;
+        if (readNumber(key, value, least, most, presence))
+            out = static_cast<Number>(value);
+    }
+
+    /// \brief Reads a list of texts, each by \a convert.
+    /// \param convert Takes a text; returns an optional value, empty where the text is wrong.
+    /// \param expected What each text should be, for the finding.
+    template <typename Value, typename Convert>
+    void list(std::string_view key, std::vector<Value> &out, Convert convert,
+              std::string_view expected, Presence presence = Presence::Optional)
+    {
+        const boost::json::value *found = find(key, presence);
+        if (!found)
+            return;
+        if (!found->is_array()) {
+            note(key, "expected a list of " + std::string{expected});
+            return;
+        }
+        std::vector<Value> values;
+        for (std::size_t index = 0; index < found->get_array().size(); ++index) {
+            const boost::json::value &entry = found->get_array()[index];
+            const auto value = entry.is_string() ? convert(std::string_view{entry.get_string()})
+                                                 : decltype(convert(std::string_view{})){};
+            if (!value) {
+                note(std::string{key} + '[' + std::to_string(index) + ']',
+                     "expected " + std::string{expected});
+                continue;
+            }
+            values.push_back(*value);
+        }
+        out = std::move(values);
+    }
+
+    /// \brief Reads a nested object. \param read Called with its ObjectReader where it is there.
+    template <typename Read>
+    void section(std::string_view key, Read read, Presence presence = Presence::Optional)
+    {
+        const boost::json::value *found = find(key, presence);
+        if (!found)
+            return;
+        if (!found->is_object()) {
+            note(key, "expected an object");
+            return;
+        }
+        ObjectReader nested{found->get_object(), pathOf(key), m_findings};
+        read(nested);
+        nested.finish();
+    }
+
+    /// \brief Notes a finding about \a key.
+    void note(std::string_view key, std::string text);
+    /// \brief Notes every key that no call asked for, with a known key that is spelled like it.
+    void finish();
+
+private:
+    [[nodiscard]] const boost::json::value *find(std::string_view key, Presence presence);
+    [[nodiscard]] std::string pathOf(std::string_view key) const;
+    bool readNumber(std::string_view key, std::uint64_t &out, std::uint64_t least,
+                    std::uint64_t most, Presence presence);
+
+    const boost::json::object &m_object;
+    std::string m_path;
+    Findings &m_findings;
+    std::vector<std::string> m_known;
+};
+
+} // namespace baobabtrail::daemon
--- /dev/null
+++ b/src/daemon/settings/settings_reader.cpp
@@ -0,0 +1,255 @@
+#include "daemon/settings/settings_reader.h"
+
+#include "daemon/admin/access_keys.h"
+#include "daemon/settings/object_reader.h"
+#include "daemon/settings/secret_file.h"
+
+#include <boost/asio/ip/address_v4.hpp>
+#include <boost/json/parser.hpp>
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <iterator>
+#include <optional>
+
+namespace baobabtrail::daemon {
+
+namespace {
+
+constexpr std::size_t MinSecretBytes = 32;
+constexpr std::size_t MinOperatorKeyBytes = 16;
+
+[[nodiscard]] Finding syntaxFinding(std::string_view text, std::size_t offset,
+                                    const boost::system::error_code &error)
+{
+    const std::string_view before = text.substr(0, offset);
+    const auto line = std::count(before.begin(), before.end(), '\n') + 1;
+    const std::size_t lineStart = before.rfind('\n') + 1; // npos + 1 is 0
+    const std::size_t column = offset - lineStart + 1;
+    return {"line " + std::to_string(line) + ", column " + std::to_string(column), error.message()};
+}
+
+[[nodiscard]] std::optional<std::uint32_t> parseAddress(std::string_view text)
+{
+    boost::system::error_code error;
+    const auto address = boost::asio::ip::make_address_v4(text, error);
+    if (error)
+        return std::nullopt;
+    return address.to_uint();
+}
+
+[[nodiscard]] std::optional<std::string> parseKeyHash(std::string_view text)
+{
+    if (!isAccessKeyHash(text))
+        return std::nullopt;
+    return std::string{text};
+}
+
+void readSecret(ObjectReader &reader, std::string_view key, const std::string &path,
+                std::size_t minBytes, std::string &out)
+{
+    auto result = readSecretFile(path);
+    if (const auto *error = std::get_if<SecretError>(&result)) {
+        reader.note(key, path + ' ' + error->text);
+        return;
+    }
+    std::string &secret = std::get<std::string>(result);
+    if (secret.size() < minBytes) {
+        reader.note(key, path + " holds fewer than " + std::to_string(minBytes) + " bytes");
+        return;
+    }
+    out = std::move(secret);
+}
+
+void readAddresses(ObjectReader &reader, ListenAddresses &out)
+{
+    reader.endpoint("data", out.data, Presence::Required);
+    reader.endpoint("peer", out.peer, Presence::Required);
+    reader.endpoint("records", out.records, Presence::Required);
+    reader.endpoint("administration", out.administration, Presence::Required);
+    if (!out.data.isNull() && out.data == out.peer)
+        reader.note("peer", "must not be the same as addresses.data");
+    if (!out.records.isNull() && out.records == out.administration)
+        reader.note("administration", "must not be the same as addresses.records");
+}
+
+void readPlatform(ObjectReader &reader, PlatformClientSettings &out)
+{
+    reader.endpoint("address", out.platform, Presence::Required);
+    reader.duration("timeout", out.timeout, 10ms, 1min);
+}
+
+void readAdministration(ObjectReader &reader, AdministrationSettings &out)
+{
+    std::string keyFile;
+    reader.text("operatorKeyFile", keyFile);
+    reader.list("operatorKeyHashes", out.operatorKeyHashes, parseKeyHash,
+                "64 hexadecimal digits of a key's hash");
+    reader.duration("timeout", out.timeout, 100ms, 10min);
+    reader.number("maxBodyBytes", out.maxBodyBytes, 1024, 64 << 20);
+    reader.number("maxConnections", out.maxConnections, 1, 4096);
+    if (keyFile.empty())
+        return;
+    std::string key;
+    readSecret(reader, "operatorKeyFile", keyFile, MinOperatorKeyBytes, key);
+    if (!key.empty())
+        out.operatorKeyHashes.push_back(accessKeyHash(key));
+}
+
+void readSockets(ObjectReader &reader, SocketSettings &out)
+{
+    reader.number("batch", out.batch, 1, 256);
+    reader.number("receiveBufferBytes", out.receiveBufferBytes, 4096, 1 << 30);
+    reader.number("sendBufferBytes", out.sendBufferBytes, 4096, 1 << 30);
+}
+
+void readLinks(ObjectReader &reader, LinkSettings &out)
+{
+    reader.duration("connectTimeout", out.connectTimeout, 10ms, 1min);
+    reader.number("maxQueuedBytes", out.maxQueuedBytes, 64 << 10, 1 << 30);
+}
+
+void readRecords(ObjectReader &reader, RecordsSettings &out)
+{
+    reader.duration("timeout", out.timeout, 10ms, 1min);
+    reader.number("contexts", out.contexts, 1, 256);
+}
+
+void readLog(ObjectReader &reader, LogSettings &out)
+{
+    struct Level
+    {
+        std::string_view name;
+        Severity severity;
+    };
+    constexpr std::array Levels{Level{"debug", Severity::Debug}, Level{"info", Severity::Info},
+                                Level{"warning", Severity::Warning},
+                                Level{"error", Severity::Error}};
+    std::string name;
+    reader.text("level", name);
+    const auto *level = std::find_if(Levels.begin(), Levels.end(),
+                                     [&](const Level &entry) { return entry.name == name; });
+    if (level != Levels.end())
+        out.level = level->severity;
+    else if (!name.empty())
+        reader.note("level", "expected debug, info, warning or error");
+    reader.number("linesPerSecond", out.linesPerSecond, 1, 10000);
+}
+
+void readRestarts(ObjectReader &reader, RestartPolicy &out)
+{
+    reader.duration("firstDelay", out.firstDelay, 1ms, 1min);
+    reader.duration("maxDelay", out.maxDelay, 1ms, 10min);
+    reader.number("maxFailures", out.maxFailures, 0, 1000);
+    reader.duration("window", out.window, 100ms, 1h);
+    if (out.maxDelay < out.firstDelay)
+        reader.note("maxDelay", "must not be shorter than restarts.firstDelay");
+}
+
+void readTraffic(ObjectReader &reader, TrafficSettings &out)
+{
+    reader.number("maxRequests", out.maxRequests, 16, 16 << 20);
+    reader.number("maxPendingOpens", out.maxPendingOpens, 16, 16 << 20);
+    reader.number("maxHops", out.maxHops, 0, 8);
+    reader.duration("maxDeadline", out.maxDeadline, 100ms, 1h);
+    reader.duration("reservationLapse", out.reservationLapse, 10ms, 1min);
+    reader.duration("openTimeout", out.openTimeout, 5ms, 1min);
+    reader.number("silentAfter", out.silentAfter, 1, 1000);
+    reader.number("maxAnswerResends", out.maxAnswerResends, 0, 1000);
+    reader.number("answerPartBytes", out.answerPartBytes, 128, 32768);
+}
+
+void readControl(ObjectReader &reader, ControlSettings &out)
+{
+    reader.duration("pingPeriod", out.pingPeriod, 10ms, 1min);
+    reader.duration("pingTimeout", out.pingTimeout, 1ms, 1min);
+    reader.duration("suspicion", out.suspicion, 10ms, 10min);
+    reader.duration("antiEntropyPeriod", out.antiEntropyPeriod, 10ms, 10min);
+    reader.duration("vmListPeriod", out.vmListPeriod, 10ms, 1h);
+    reader.duration("watchWait", out.watchWait, 10ms, 10min);
+    reader.number("watchersPerDomain", out.watchersPerDomain, 1, 64);
+    reader.number("noticeFanOut", out.noticeFanOut, 1, 64);
+    reader.duration("addressQuarantine", out.addressQuarantine, 0s, 24h);
+    reader.number("snapshotEvery", out.snapshotEvery, 1, 1 << 20);
+    if (out.pingTimeout >= out.pingPeriod)
+        reader.note("pingTimeout", "must be shorter than control.pingPeriod");
+}
+
+void readRoot(ObjectReader &reader, Settings &out)
+{
+    std::uint64_t daemon = 0;
+    reader.number("daemon", daemon, 1, std::numeric_limits<std::uint64_t>::max(),
+                  Presence::Required);
+    out.daemon = DaemonId{daemon};
+    reader.text("domain", out.domain, Presence::Required);
+    reader.section(
+        "addresses", [&](ObjectReader &nested) { readAddresses(nested, out.addresses); },
+        Presence::Required);
+    reader.list("fabric", out.fabric, parseAddress, "an IPv4 address", Presence::Required);
+    reader.section(
+        "platform", [&](ObjectReader &nested) { readPlatform(nested, out.platform); },
+        Presence::Required);
+    reader.list("seeds", out.control.seeds, parseEndpoint, "an IPv4 address with a port");
+    reader.section(
+        "administration",
+        [&](ObjectReader &nested) { readAdministration(nested, out.administration); },
+        Presence::Required);
+
+    std::string secretFile;
+    reader.text("clusterSecretFile", secretFile, Presence::Required);
+    if (!secretFile.empty())
+        readSecret(reader, "clusterSecretFile", secretFile, MinSecretBytes, out.clusterSecret);
+
+    reader.duration("stopTimeout", out.stopTimeout, 0s, 1h);
+    reader.section("sockets", [&](ObjectReader &nested) { readSockets(nested, out.sockets); });
+    reader.section("links", [&](ObjectReader &nested) { readLinks(nested, out.links); });
+    reader.section("records", [&](ObjectReader &nested) { readRecords(nested, out.records); });
+    reader.section("log", [&](ObjectReader &nested) { readLog(nested, out.log); });
+    reader.section("metrics", [&](ObjectReader &nested) {
+        nested.number("maxTenants", out.metrics.maxTenants, 1, 4096);
+    });
+    reader.section("restarts", [&](ObjectReader &nested) { readRestarts(nested, out.restarts); });
+    reader.section("traffic", [&](ObjectReader &nested) { readTraffic(nested, out.traffic); });
+    reader.section("control", [&](ObjectReader &nested) { readControl(nested, out.control); });
+    reader.finish();
+}
+
+} // namespace
+
+std::variant<Settings, Findings> readSettings(std::string_view text)
+{
+    boost::json::parse_options options;
+    options.allow_comments = true;
+    options.allow_trailing_commas = true;
+    boost::json::parser parser{{}, options};
+    boost::system::error_code error;
+    const std::size_t taken = parser.write_some(text.data(), text.size(), error);
+    if (error)
+        return Findings{syntaxFinding(text, taken, error)};
+    if (text.find_first_not_of(" \t\r\n", taken) != std::string_view::npos)
+        return Findings{syntaxFinding(text, taken, boost::json::error::extra_data)};
+
+    const boost::json::value root = parser.release();
+    if (!root.is_object())
+        return Findings{{"line 1, column 1", "expected an object"}};
+
+    Settings settings;
+    Findings findings;
+    ObjectReader reader{root.get_object(), {}, findings};
+    readRoot(reader, settings);
+    if (!findings.empty())
+        return findings;
+    return settings;
+}
+
+std::variant<Settings, Findings> readSettingsFile(const std::filesystem::path &path)
+{
+    std::ifstream file{path, std::ios::binary};
+    if (!file)
+        return Findings{{path.string(), "can't be opened"}};
+    const std::string text{std::istreambuf_iterator<char>{file}, {}};
+    return readSettings(text);
+}
+
+} // namespace baobabtrail::daemon
--- /dev/null
+++ b/tests/settings/settings_reader_test.cpp
@@ -0,0 +1,187 @@
+#include "daemon/admin/access_keys.h"
+#include "daemon/settings/duration_text.h"
+#include "daemon/settings/settings_reader.h"
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <string>
+#include <unistd.h>
+
+#include <criterion/criterion.h>
+
+using namespace baobabtrail;
+using namespace baobabtrail::daemon;
+
+namespace {
+
+/// \brief A directory of its own for one test, removed at the end.
+class ScratchDirectory
+{
+public:
+    ScratchDirectory()
+    {
+        std::string pattern = std::filesystem::temp_directory_path() / "settings-XXXXXX";
+        m_path = ::mkdtemp(pattern.data());
+    }
+    ~ScratchDirectory() { std::filesystem::remove_all(m_path); }
+    ScratchDirectory(const ScratchDirectory &) = delete;
+    ScratchDirectory &operator=(const ScratchDirectory &) = delete;
+
+    [[nodiscard]] std::string write(const std::string &name, const std::string &content,
+                                    std::filesystem::perms mode) const
+    {
+        const auto path = m_path / name;
+        std::ofstream{path} << content;
+        std::filesystem::permissions(path, mode);
+        return path;
+    }
+
+private:
+    std::filesystem::path m_path;
+};
+
+constexpr auto OwnerOnly = std::filesystem::perms::owner_read;
+const std::string Secret(32, 's');
+
+[[nodiscard]] std::string settingsText(const std::string &secretFile, const std::string &more = {})
+{
+    return R"({
+    // Who this daemon is.
+    "daemon": 7, "domain": "alx-raml",
+    "addresses": {"data": "127.0.0.1:7000", "peer": "127.0.0.1:7001",
+                  "records": "127.0.0.1:7002", "administration": "127.0.0.1:7003"},
+    "fabric": ["127.0.0.1"],
+    "platform": {"address": "127.0.0.1:8000", "timeout": "2s"}, /* the stand-in */
+    "seeds": ["127.0.0.1:7101"],
+    "administration": {"operatorKeyHashes": [")"
+           + accessKeyHash("a key of an operator") + R"("]},
+    "clusterSecretFile": ")"
+           + secretFile + '"' + more + "}";
+}
+
+[[nodiscard]] Findings findingsOf(const std::string &text)
+{
+    const auto result = readSettings(text);
+    const auto *findings = std::get_if<Findings>(&result);
+    return findings ? *findings : Findings{};
+}
+
+[[nodiscard]] bool holds(const Findings &findings, const std::string &place,
+                         const std::string &text)
+{
+    return std::any_of(findings.begin(), findings.end(), [&](const Finding &finding) {
+        return finding.place == place && finding.text.find(text) != std::string::npos;
+    });
+}
+
+} // namespace
+
+Test(settings, wholeFileIsRead)
+{
+    const ScratchDirectory scratch;
+    const auto secret = scratch.write("secret", Secret + "\n", OwnerOnly);
+    const auto result = readSettings(settingsText(secret, R"(, "control": {"pingPeriod": "2s"})"));
+    const auto *settings = std::get_if<Settings>(&result);
+    cr_assert(settings);
+    cr_assert(settings->daemon == DaemonId{7});
+    cr_assert((settings->addresses.administration == Endpoint{0x7f000001, 7003}));
+    cr_assert((settings->fabric == std::vector<std::uint32_t>{0x7f000001}));
+    cr_assert((settings->control.seeds == std::vector<Endpoint>{{0x7f000001, 7101}}));
+    cr_assert(settings->control.pingPeriod == 2s);
+    cr_assert(settings->platform.timeout == 2s);
+    cr_assert(settings->clusterSecret == Secret);
+    cr_assert(settings->stopTimeout == 30s);
+}
+
+Test(settings, everyFindingIsReportedAtOnceWithItsKeyPath)
+{
+    const ScratchDirectory scratch;
+    const auto secret = scratch.write("secret", Secret, OwnerOnly);
+    const auto findings = findingsOf(R"({
+        "daemon": 0, "domian": "alx-raml",
+        "addresses": {"data": "here", "peer": "127.0.0.1:7001", "records": "127.0.0.1:7002",
+                      "administration": "127.0.0.1:7002"},
+        "fabric": ["127.0.0.1", 5],
+        "administration": {"operatorKeyHashes": ["abc"]},
+        "clusterSecretFile": ")" + secret
+                                     + R"(",
+        "control": {"pingPeriod": "100ms", "pingTimeout": 300, "suspicion": "9h", "fanOut": 3}
+    })");
+    const Findings expected{
+        {"daemon", "must lie between 1"},
+        {"domain", "is missing"},
+        {"domian", "unknown key; did you mean \"domain\"?"},
+        {"addresses.data", "expected an IPv4 address with a port"},
+        {"addresses.administration", "must not be the same as addresses.records"},
+        {"fabric[1]", "expected an IPv4 address"},
+        {"platform", "is missing"},
+        {"administration.operatorKeyHashes[0]", "expected 64 hexadecimal digits"},
+        {"control.pingTimeout", "expected a time with its unit"},
+        {"control.pingTimeout", "must be shorter than control.pingPeriod"},
+        {"control.suspicion", "must lie between 10ms and 10min"},
+        {"control.fanOut", "unknown key"},
+    };
+    for (const Finding &finding : expected)
+        cr_expect(holds(findings, finding.place, finding.text), "%s: %s", finding.place.c_str(),
+                  finding.text.c_str());
+    cr_assert_eq(findings.size(), expected.size());
+}
+
+Test(settings, syntaxErrorIsReportedWithItsLineAndColumn)
+{
+    const auto findings = findingsOf("{\n  \"daemon\": 7,\n  \"domain\" \"x\"\n}\n");
+    cr_assert_eq(findings.size(), 1);
+    cr_assert_str_eq(findings[0].place.c_str(), "line 3, column 12");
+
+    const auto unfinished = findingsOf("{\n  \"daemon\": 7");
+    cr_assert_eq(unfinished.size(), 1);
+    cr_assert_str_eq(unfinished[0].place.c_str(), "line 2, column 14");
+
+    const auto twice = findingsOf("{}\n {}");
+    cr_assert_eq(twice.size(), 1);
+    cr_assert_str_eq(twice[0].place.c_str(), "line 2, column 2");
+}
+
+// Anyone with an account on the VM can read a secret of mode 0644, and then forge tokens and
+// messages between daemons.
+// The daemon refuses to start, and says what to do about it.
+Test(settings, secretThatOthersMayReadIsRefused)
+{
+    const ScratchDirectory scratch;
+    using std::filesystem::perms;
+    for (const perms mode : {perms::group_read, perms::others_read, perms::group_write}) {
+        const auto name = "secret" + std::to_string(static_cast<unsigned>(mode));
+        const auto open = scratch.write(name, Secret, OwnerOnly | mode);
+        cr_expect(holds(findingsOf(settingsText(open)), "clusterSecretFile", "open to group"));
+    }
+    const auto shortSecret = scratch.write("short", "too short", OwnerOnly);
+    cr_expect(holds(findingsOf(settingsText(shortSecret)), "clusterSecretFile", "fewer than 32"));
+    cr_expect(
+        holds(findingsOf(settingsText("/nowhere/secret")), "clusterSecretFile", "can't be opened"));
+}
+
+Test(settings, timesAreReadWithTheirUnits)
+{
+    cr_assert(parseDuration("300ms") == 300ms);
+    cr_assert(parseDuration("10min") == 10min);
+    cr_assert(parseDuration("0s") == 0s);
+    for (const char *wrong : {"", "5", "s", "-1s", "1.5s", "1 s", "9223372036854775807h"})
+        cr_expect(!parseDuration(wrong), "%s", wrong);
+    cr_assert_str_eq(toString(90s).c_str(), "90s");
+    cr_assert_str_eq(toString(120s).c_str(), "2min");
+    cr_assert_str_eq(toString(1500us).c_str(), "1500us");
+}
+
+Test(accessKeys, findTheirHolder)
+{
+    Config config;
+    config.tenants["alexandria"] = TenantConfig{"alexandria", accessKeyHash("tenant key")};
+    const std::vector<std::string> operators{accessKeyHash("operator key")};
+    cr_assert(findCaller("tenant key", operators, config)->tenant == "alexandria");
+    cr_assert(findCaller("operator key", operators, config)->tenant.empty());
+    cr_assert(!findCaller("another key", operators, config));
+    cr_assert(!findCaller("", operators, config));
+    config.tenants["broken"] = TenantConfig{"broken", ""};
+    cr_assert(!findCaller("", operators, config));
+}
