Restart failed children by supervisors and count what passes through

A supervisor restarts a failed child alone, after a delay that doubles, and fails itself once a child fails more often than its policy allows within a window. Failures are handled after the child's own call has returned; reports and restarts of an earlier run are ignored.

Tenants beyond the bound share one entry.

--- /dev/null
+++ b/src/daemon/metrics/tenant_metrics.cpp
@@ -0,0 +1,183 @@
+#include "daemon/metrics/tenant_metrics.h"
+
+#include <variant>
+
+namespace baobabtrail::daemon {
+
+namespace {
+
+constexpr std::string_view OverflowTenant = "other";
+
+template <typename Enum>
+[[nodiscard]] constexpr std::size_t indexOf(Enum value) noexcept
+{
+    return static_cast<std::size_t>(value);
+}
+
+template <std::size_t Size>
+void writeNamed(Exposition &page, Labels labels, std::string_view label,
+                const std::array<std::string_view, Size> &names,
+                const std::array<std::uint64_t, Size> &counts)
+{
+    labels.emplace_back(label, std::string_view{});
+    for (std::size_t index = 0; index < Size; ++index) {
+        if (counts[index] == 0)
+            continue;
+        labels.back().second = names[index];
+        page.sample(labels, static_cast<double>(counts[index]));
+    }
+}
+
+} // namespace
+
+TenantMetrics::TenantMetrics(std::size_t maxTenants)
+    : m_maxTenants(maxTenants)
+{
+}
+
+void TenantMetrics::configure(const Config &config)
+{
+    std::erase_if(m_tenants,
+                  [&](const auto &entry) { return !config.tenants.contains(entry.first); });
+    for (const auto &[name, tenant] : config.tenants) {
+        if (m_tenants.size() >= m_maxTenants)
+            break;
+        m_tenants.try_emplace(name);
+    }
+    m_services.clear();
+    for (const auto &[id, service] : config.services) {
+        const auto found = m_tenants.find(service.tenant);
+        if (found != m_tenants.end())
+            m_services.emplace(id, &found->second);
+    }
+}
+
+void TenantMetrics::observe(const Observation &observation)
+{
+    std::visit([this](const auto &observed) { add(observed); }, observation);
+}
+
+TenantMetrics::Entry &TenantMetrics::entryOf(ServiceId service)
+{
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? m_other : *found->second;
+}
+
+void TenantMetrics::add(const RequestObserved &observed)
+{
+    ClassMetrics &metrics = entryOf(observed.service).classes[indexOf(observed.requestClass)];
+    ++metrics.outcomes[indexOf(observed.outcome)];
+    if (observed.outcome == RequestOutcome::NotRun) {
+        ++metrics.refusals[indexOf(observed.refusal)];
+        return;
+    }
+    metrics.total.add(observed.total);
+    metrics.queued.add(observed.queued);
+}
+
+void TenantMetrics::add(const FlowObserved &observed)
+{
+    Entry &entry = entryOf(observed.service);
+    ++entry.flows[indexOf(observed.event)];
+    if (observed.event == FlowEvent::Refused)
+        ++entry.flowRefusals[indexOf(observed.refusal)];
+    if (observed.event == FlowEvent::Reset)
+        ++entry.flowResets[indexOf(observed.reset)];
+}
+
+void TenantMetrics::add(const RejectObserved &observed)
+{
+    ++entryOf(observed.service).rejects[indexOf(observed.kind)];
+}
+
+template <typename Write>
+void TenantMetrics::forEach(Write write) const
+{
+    for (const auto &[name, entry] : m_tenants)
+        write(std::string_view{name}, entry);
+    write(OverflowTenant, m_other);
+}
+
+void TenantMetrics::write(Exposition &page) const
+{
+    writeRequests(page);
+    writeFlows(page);
+}
+
+void TenantMetrics::writeRequests(Exposition &page) const
+{
+    const auto forEachClass = [this](auto write) {
+        forEach([&](std::string_view tenant, const Entry &entry) {
+            for (std::size_t index = 0; index < RequestClassCount; ++index)
+                write(Labels{{"tenant", tenant}, {"class", ClassNames[index]}},
+                      entry.classes[index]);
+        });
+    };
+
+    page.family("baobabtrail_requests_total", "counter", "Requests by outcome, at their owner.");
+    forEachClass([&](const Labels &labels, const ClassMetrics &metrics) {
+        writeNamed(page, labels, "outcome", OutcomeNames, metrics.outcomes);
+    });
+    page.family("baobabtrail_request_refusals_total", "counter",
+                "Requests that were not run, by cause.");
+    forEachClass([&](const Labels &labels, const ClassMetrics &metrics) {
+        writeNamed(page, labels, "cause", RefusalNames, metrics.refusals);
+    });
+    page.family("baobabtrail_request_seconds", "histogram",
+                "From the reservation to the end of a request that was dispatched.");
+    forEachClass([&](const Labels &labels, const ClassMetrics &metrics) {
+        if (metrics.total.count() != 0)
+            metrics.total.write(page, labels);
+    });
+    page.family("baobabtrail_request_queued_seconds", "histogram",
+                "From the reservation to the dispatch of a request.");
+    forEachClass([&](const Labels &labels, const ClassMetrics &metrics) {
+        if (metrics.queued.count() != 0)
+            metrics.queued.write(page, labels);
+    });
+    page.family("baobabtrail_request_estimate_seconds", "gauge",
+                "Estimated quantiles and mean of baobabtrail_request_seconds.");
+    forEachClass([&](const Labels &labels, const ClassMetrics &metrics) {
+        constexpr std::array QuantileNames{"0.5", "0.9", "0.99"};
+        static_assert(QuantileNames.size() == Quantiles.size());
+        if (metrics.total.count() == 0)
+            return;
+        Labels named = labels;
+        named.emplace_back("quantile", std::string_view{});
+        for (std::size_t index = 0; index < Quantiles.size(); ++index) {
+            named.back().second = QuantileNames[index];
+            const std::chrono::duration<double> estimate = metrics.total.quantile(index);
+            page.sample(named, estimate.count());
+        }
+        named.back() = {"statistic", "mean"};
+        page.sample(named, std::chrono::duration<double>(metrics.total.mean()).count());
+    });
+}
+
+void TenantMetrics::writeFlows(Exposition &page) const
+{
+    const auto forEachTenant = [this](auto write) {
+        forEach([&](std::string_view tenant, const Entry &entry) {
+            write(Labels{{"tenant", tenant}}, entry);
+        });
+    };
+
+    page.family("baobabtrail_flows_total", "counter", "Flows by event.");
+    forEachTenant([&](const Labels &labels, const Entry &entry) {
+        writeNamed(page, labels, "event", FlowEventNames, entry.flows);
+    });
+    page.family("baobabtrail_flow_refusals_total", "counter", "Flows not placed, by cause.");
+    forEachTenant([&](const Labels &labels, const Entry &entry) {
+        writeNamed(page, labels, "cause", RefusalNames, entry.flowRefusals);
+    });
+    page.family("baobabtrail_flow_resets_total", "counter", "Flows that were reset, by cause.");
+    forEachTenant([&](const Labels &labels, const Entry &entry) {
+        writeNamed(page, labels, "cause", ResetNames, entry.flowResets);
+    });
+    page.family("baobabtrail_rejects_total", "counter", "Tokens and messages that were refused.");
+    forEachTenant([&](const Labels &labels, const Entry &entry) {
+        writeNamed(page, labels, "kind", RejectNames, entry.rejects);
+    });
+}
+
+} // namespace baobabtrail::daemon
--- /dev/null
+++ b/src/daemon/metrics/tenant_metrics.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "core/config/config.h"
+#include "core/notice.h"
+#include "daemon/metrics/duration_histogram.h"
+#include "daemon/metrics/names.h"
+
+#include <array>
+#include <map>
+#include <string>
+#include <unordered_map>
+
+namespace baobabtrail::daemon {
+
+/// \brief Histograms and counts of each tenant and class.
+///
+/// Memory is bounded by the number of tenants it was made for: those beyond it, and work for a
+/// service that the configuration doesn't name, share the tenant "other".
+class TenantMetrics
+{
+public:
+    explicit TenantMetrics(std::size_t maxTenants);
+
+    /// \brief Learns which service belongs to which tenant; drops what tenants had that are gone.
+    void configure(const Config &config);
+    void observe(const Observation &observation);
+    void write(Exposition &page) const;
+
+    /// \return Tenants with an entry of their own.
+    [[nodiscard]] std::size_t size() const noexcept { return m_tenants.size(); }
+
+private:
+    struct ClassMetrics
+    {
+        DurationHistogram total;
+        DurationHistogram queued;
+        std::array<std::uint64_t, OutcomeNames.size()> outcomes{};
+        std::array<std::uint64_t, RefusalNames.size()> refusals{};
+    };
+    struct Entry
+    {
+        std::array<ClassMetrics, RequestClassCount> classes;
+        std::array<std::uint64_t, FlowEventNames.size()> flows{};
+        std::array<std::uint64_t, RefusalNames.size()> flowRefusals{};
+        std::array<std::uint64_t, ResetNames.size()> flowResets{};
+        std::array<std::uint64_t, RejectNames.size()> rejects{};
+    };
+
+    [[nodiscard]] Entry &entryOf(ServiceId service);
+    void add(const RequestObserved &observed);
+    void add(const FlowObserved &observed);
+    void add(const RejectObserved &observed);
+
+    template <typename Write>
+    void forEach(Write write) const;
+    void writeRequests(Exposition &page) const;
+    void writeFlows(Exposition &page) const;
+
+    std::size_t m_maxTenants;
+    std::map<std::string, Entry> m_tenants;
+    std::unordered_map<ServiceId, Entry *> m_services;
+    Entry m_other;
+};
+
+} // namespace baobabtrail::daemon
--- /dev/null
+++ b/tests/supervisor/supervisor_test.cpp
@@ -0,0 +1,176 @@
+#include "daemon/supervisor/supervisor.h"
+
+#include <map>
+#include <stdexcept>
+
+#include <criterion/criterion.h>
+
+using namespace baobabtrail;
+using namespace baobabtrail::daemon;
+
+namespace {
+
+constexpr RestartPolicy Policy{100ms, 500ms, 3, 10s};
+
+/// \brief Time that moves only when the test says so.
+class VirtualClock
+{
+public:
+    [[nodiscard]] SupervisorRuntime runtime()
+    {
+        return {[this] { return m_now; },
+                [this](Duration delay, std::function<void()> call) {
+                    m_calls.emplace(m_now + delay, std::move(call));
+                },
+                [this](const std::string &, const std::string &, Duration delay) {
+                    delays.push_back(delay);
+                }};
+    }
+
+    void advance(Duration by)
+    {
+        const TimePoint until = m_now + by;
+        while (!m_calls.empty() && m_calls.begin()->first <= until) {
+            auto next = m_calls.extract(m_calls.begin());
+            m_now = std::max(m_now, next.key());
+            next.mapped()();
+        }
+        m_now = until;
+    }
+
+    std::vector<Duration> delays;
+
+private:
+    TimePoint m_now{1h};
+    std::multimap<TimePoint, std::function<void()>> m_calls;
+};
+
+/// \brief A child that fails when the test says so.
+struct FakeChild
+{
+    int starts = 0;
+    int stops = 0;
+    bool throws = false;
+    FailureHandler failed;
+
+    [[nodiscard]] Child asChild(std::string name)
+    {
+        return {std::move(name),
+                [this](FailureHandler handler) {
+                    ++starts;
+                    failed = std::move(handler);
+                    if (throws)
+                        throw std::runtime_error("the port is taken");
+                },
+                [this] { ++stops; }};
+    }
+};
+
+} // namespace
+
+// A child's port breaks again and again, its neighbour is well.
+// The child is stopped and started anew, each time after a longer wait, and the neighbour runs on;
+// a child that throws from its start is treated the same.
+Test(supervisor, failedChildIsRestartedAloneWithGrowingDelay)
+{
+    for (const bool throws : {false, true}) {
+        VirtualClock clock;
+        FakeChild weak;
+        FakeChild well;
+        weak.throws = throws;
+        Supervisor root{"root", Policy, clock.runtime()};
+        root.add(weak.asChild("weak"));
+        root.add(well.asChild("well"));
+        std::string gaveUp;
+        root.start([&](const std::string &why) { gaveUp = why; });
+
+        for (int failure = 1; failure <= 3; ++failure) {
+            if (!throws)
+                weak.failed("broken");
+            cr_assert_eq(weak.starts, failure);
+            clock.advance(Duration::zero());
+            cr_assert_eq(weak.stops, failure);
+            weak.throws = throws && failure < 3;
+            clock.advance(clock.delays.back());
+            cr_assert_eq(weak.starts, failure + 1);
+        }
+        cr_assert((clock.delays == std::vector<Duration>{100ms, 200ms, 400ms}));
+        cr_assert(well.starts == 1 && well.stops == 0);
+        cr_assert(gaveUp.empty());
+    }
+}
+
+// One child fails more often than the policy allows within its window, so a restart doesn't help.
+// The supervisor stops its other children, in reverse, and fails itself, once; its own parent
+// then restarts all of them, and gives up in the end.
+Test(supervisor, childThatKeepsFailingTakesItsParentDown)
+{
+    VirtualClock clock;
+    FakeChild weak;
+    FakeChild well;
+    Supervisor root{"root", Policy, clock.runtime()};
+    Supervisor branch{"branch", Policy, clock.runtime()};
+    branch.add(well.asChild("well"));
+    branch.add(weak.asChild("weak"));
+    root.add(branch.asChild());
+    std::vector<std::string> gaveUp;
+    root.start([&](const std::string &why) { gaveUp.push_back(why); });
+
+    for (int failure = 0; failure < 4; ++failure) {
+        weak.failed("broken");
+        clock.advance(600ms);
+    }
+    cr_assert_eq(well.stops, 1);
+    cr_assert_eq(well.starts, 2, "the parent restarts the branch");
+    cr_assert(gaveUp.empty());
+
+    for (int failure = 0; failure < 12; ++failure) {
+        weak.failed("broken");
+        clock.advance(600ms);
+    }
+    cr_assert_eq(gaveUp.size(), 1);
+    cr_assert_str_eq(gaveUp[0].c_str(), "branch: weak: broken");
+    cr_assert_eq(well.starts, well.stops);
+}
+
+Test(supervisor, failuresOutsideTheWindowAreForgotten)
+{
+    VirtualClock clock;
+    FakeChild weak;
+    Supervisor root{"root", Policy, clock.runtime()};
+    root.add(weak.asChild("weak"));
+    bool gaveUp = false;
+    root.start([&](const std::string &) { gaveUp = true; });
+    for (int failure = 0; failure < 20; ++failure) {
+        weak.failed("broken");
+        clock.advance(4s);
+    }
+    cr_assert(!gaveUp);
+    cr_assert_eq(weak.starts, 21);
+}
+
+// A handler of the stopped run reports its failure late, after the child was started anew.
+// The report belongs to the earlier run: the new one is left alone.
+Test(supervisor, lateReportOfAnEarlierRunIsIgnored)
+{
+    VirtualClock clock;
+    FakeChild weak;
+    Supervisor root{"root", Policy, clock.runtime()};
+    root.add(weak.asChild("weak"));
+    root.start([](const std::string &) {});
+    const FailureHandler first = weak.failed;
+    first("broken");
+    first("broken, said twice");
+    clock.advance(1s);
+    cr_assert_eq(weak.starts, 2);
+    first("broken, said late");
+    clock.advance(1s);
+    cr_assert_eq(weak.starts, 2);
+
+    weak.failed("broken just before the daemon stops");
+    clock.advance(Duration::zero());
+    root.stop();
+    clock.advance(1min);
+    cr_assert_eq(weak.starts, 2);
+    cr_assert_eq(weak.stops, 2);
+}
