Add UDP sockets, connections to targets and the log

UDP sockets read and send batches (recvmmsg, sendmmsg); what a batch's handlers send leaves behind the batch. Log lines leave through a bounded queue and a thread of their own, so that a stuck reader of standard error can't stop forwarding; lines of one kind are bounded for each second.

--- /dev/null
+++ b/src/daemon/clock.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <chrono>
+
+namespace baobabtrail::daemon {
+
+/// \return The monotonic time that events to the core carry.
+[[nodiscard]] inline TimePoint monotonicNow() noexcept
+{
+    const auto sinceBoot = std::chrono::steady_clock::now().time_since_epoch();
+    return TimePoint{std::chrono::duration_cast<Duration>(sinceBoot)};
+}
+
+/// \return The wall clock, in whole seconds.
+[[nodiscard]] inline std::chrono::sys_seconds wallNow() noexcept
+{
+    return std::chrono::floor<std::chrono::seconds>(std::chrono::system_clock::now());
+}
+
+} // namespace baobabtrail::daemon
--- /dev/null
+++ b/src/daemon/log/log.cpp
@@ -0,0 +1,113 @@
+#include "daemon/log/log.h"
+
+#include <boost/core/null_deleter.hpp>
+#include <boost/log/attributes/clock.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/drop_on_overflow.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/log/support/date_time.hpp>
+
+#include <array>
+#include <iostream>
+#include <memory>
+#include <string>
+
+namespace baobabtrail::daemon {
+
+namespace {
+
+namespace logging = boost::log;
+
+constexpr std::size_t MostWaitingLines = 1000;
+
+constexpr std::array<std::string_view, 8> Prefixes{
+    "flows", "requests", "targets", "config", "membership", "distribution", "platform", "daemon"};
+constexpr std::array<std::string_view, 4> SeverityNames{"debug", "info", "warning", "error"};
+
+using Queue
+    = logging::sinks::bounded_fifo_queue<MostWaitingLines, logging::sinks::drop_on_overflow>;
+using Frontend = logging::sinks::asynchronous_sink<logging::sinks::text_ostream_backend, Queue>;
+using Logger = logging::sources::severity_logger<Severity>;
+
+[[nodiscard]] Logger &logger()
+{
+    static Logger instance;
+    return instance;
+}
+
+[[nodiscard]] std::string_view nameOf(Severity severity) noexcept
+{
+    return SeverityNames[static_cast<std::size_t>(severity)];
+}
+
+void format(const logging::record_view &record, logging::formatting_ostream &out)
+{
+    const auto severity = record["Severity"].extract<Severity>();
+    const auto time = record["TimeStamp"].extract<boost::posix_time::ptime>();
+    if (time)
+        out << boost::posix_time::to_iso_extended_string(time.get()) << "Z ";
+    if (severity)
+        out << nameOf(severity.get()) << ' ';
+    out << record["Message"].extract<std::string>();
+}
+
+} // namespace
+
+struct LogSession::Sink
+{
+    boost::shared_ptr<Frontend> frontend;
+};
+
+LogSession::LogSession(Severity level)
+    : m_sink(std::make_unique<Sink>())
+{
+    const auto backend = boost::make_shared<logging::sinks::text_ostream_backend>();
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter{}));
+    backend->auto_flush(true);
+    m_sink->frontend = boost::make_shared<Frontend>(backend);
+    m_sink->frontend->set_formatter(&format);
+
+    const auto core = logging::core::get();
+    core->add_global_attribute("TimeStamp", logging::attributes::utc_clock{});
+    core->set_filter([level](const logging::attribute_value_set &values) {
+        const auto severity = values["Severity"].extract<Severity>();
+        return severity && severity.get() >= level;
+    });
+    core->add_sink(m_sink->frontend);
+}
+
+LogSession::~LogSession()
+{
+    logging::core::get()->remove_sink(m_sink->frontend);
+    m_sink->frontend->stop();
+    m_sink->frontend->flush();
+}
+
+void logLine(Severity severity, Part part, std::string_view text)
+{
+    BOOST_LOG_SEV(logger(), severity) << Prefixes[static_cast<std::size_t>(part)] << ": " << text;
+}
+
+bool NoticeLog::write(const Notice &notice, const Config &config, TimePoint now)
+{
+    const auto leftOut = m_limiter.admit(notice.part, notice.text, now);
+    if (!leftOut)
+        return false;
+
+    std::string line = notice.text;
+    if (const ServiceConfig *service = config.service(notice.service))
+        line += " tenant=" + service->tenant + " service=" + service->name;
+    if (!notice.change.empty())
+        line += " change=" + notice.change;
+    if (*leftOut > 0)
+        line += " (" + std::to_string(*leftOut) + " like it left out)";
+    logLine(notice.severity, notice.part, line);
+    return true;
+}
+
+} // namespace baobabtrail::daemon
--- /dev/null
+++ b/src/daemon/net/link.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "core/messages/request.h"
+#include "daemon/settings/settings.h"
+#include "wire/codec.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace baobabtrail::daemon {
+
+/// \brief What a connection to a target reports. None is called from within Link's own functions,
+/// and none after close().
+struct LinkHandlers
+{
+    std::function<void()> opened;
+    std::function<void(LinkMessage)> received;
+    std::function<void(const std::string &why)> closed; ///< The last call.
+};
+
+/// \brief A TCP connection to a target.
+///
+/// Nothing is sent again: what was queued or sent when it breaks is lost to it, and the decision
+/// what that means for a request is the traffic node's.
+class Link : public std::enable_shared_from_this<Link>
+{
+public:
+    Link(boost::asio::io_context &context, const LinkSettings &settings, LinkHandlers handlers);
+
+    void connect(const Endpoint &target);
+    void send(const LinkMessage &message);
+    /// \brief Ends the connection; no handler is called any more.
+    void close();
+
+private:
+    void connected(const boost::system::error_code &error);
+    void read();
+    void take(std::size_t size);
+    void write();
+    void fail(const std::string &why);
+
+    static constexpr std::size_t ReadBytes = 16 << 10;
+
+    boost::asio::ip::tcp::socket m_socket;
+    boost::asio::steady_timer m_connectTimer;
+    LinkSettings m_settings;
+    LinkHandlers m_handlers;
+    wire::LinkReader m_reader;
+    std::array<char, ReadBytes> m_input;
+    std::string m_queued;  ///< Waits for the write that is under way.
+    std::string m_writing; ///< Empty where no write is under way.
+    bool m_connected = false;
+    bool m_closed = false;
+};
+
+} // namespace baobabtrail::daemon
--- /dev/null
+++ b/src/daemon/net/udp_socket.cpp
@@ -0,0 +1,195 @@
+#include "daemon/net/udp_socket.h"
+
+#include "daemon/net/asio_endpoint.h"
+#include "wire/codec.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <sys/socket.h>
+
+namespace baobabtrail::daemon {
+
+namespace {
+
+// One byte more than the largest datagram with its header, to see that a longer one was cut.
+constexpr std::size_t HeaderRoom = 512;
+constexpr std::size_t SlotBytes = wire::MaxDatagramBytes + HeaderRoom + 1;
+// Batches that are read in a row; timers, peers and targets wait no longer than these take.
+constexpr int BatchesInARow = 4;
+
+[[nodiscard]] bool isPassing(int error) noexcept
+{
+    return error == EAGAIN || error == EWOULDBLOCK || error == EINTR || error == ECONNREFUSED;
+}
+
+} // namespace
+
+/// \brief Memory of one receive call and one send call. Pages that no datagram reached stay
+/// untouched, so long slots cost little.
+struct UdpSocket::Batch
+{
+    explicit Batch(std::size_t size)
+        : bytes(std::make_unique_for_overwrite<char[]>(size * SlotBytes))
+        , vectors(size)
+        , addresses(size)
+        , headers(size)
+    {
+    }
+
+    void prepareReceive()
+    {
+        for (std::size_t index = 0; index < headers.size(); ++index) {
+            vectors[index] = {bytes.get() + index * SlotBytes, SlotBytes};
+            headers[index] = {};
+            headers[index].msg_hdr.msg_iov = &vectors[index];
+            headers[index].msg_hdr.msg_iovlen = 1;
+            headers[index].msg_hdr.msg_name = &addresses[index];
+            headers[index].msg_hdr.msg_namelen = sizeof(sockaddr_in);
+        }
+    }
+
+    std::unique_ptr<char[]> bytes;
+    std::vector<iovec> vectors;
+    std::vector<sockaddr_in> addresses;
+    std::vector<mmsghdr> headers;
+};
+
+UdpSocket::UdpSocket(boost::asio::io_context &context, const Endpoint &local,
+                     const SocketSettings &settings, SocketCounters &counters, Receive receive,
+                     FailureHandler failed)
+    : m_socket(context)
+    , m_batchSize(settings.batch)
+    , m_counters(counters)
+    , m_receive(std::move(receive))
+    , m_failed(std::move(failed))
+    , m_batch(std::make_unique<Batch>(settings.batch))
+{
+    using boost::asio::socket_base;
+    m_socket.open(boost::asio::ip::udp::v4());
+    m_socket.set_option(socket_base::receive_buffer_size(settings.receiveBufferBytes));
+    m_socket.set_option(socket_base::send_buffer_size(settings.sendBufferBytes));
+    m_socket.bind(toAsio<boost::asio::ip::udp>(local));
+    m_socket.non_blocking(true);
+    waitForDatagrams();
+}
+
+UdpSocket::~UdpSocket()
+{
+    flush();
+}
+
+void UdpSocket::send(const Endpoint &to, std::string bytes)
+{
+    m_outgoing.push_back({to, std::move(bytes)});
+    if (m_flushPlanned)
+        return;
+    m_flushPlanned = true;
+    boost::asio::post(m_socket.get_executor(), [this, alive = std::weak_ptr{m_alive}] {
+        if (!alive.expired())
+            flush();
+    });
+}
+
+void UdpSocket::waitForDatagrams()
+{
+    m_socket.async_wait(boost::asio::socket_base::wait_read,
+                        [this, alive = std::weak_ptr{m_alive}](boost::system::error_code error) {
+                            if (alive.expired())
+                                return;
+                            if (error) {
+                                m_failed(error.message());
+                                return;
+                            }
+                            guarded(m_failed, [this] {
+                                readBatches();
+                                waitForDatagrams();
+                            });
+                        });
+}
+
+void UdpSocket::readBatches()
+{
+    // What the handlers send leaves in one call behind each batch.
+    m_flushPlanned = true;
+    for (int round = 0; round < BatchesInARow; ++round) {
+        const std::size_t count = readBatch();
+        deliver(count);
+        flush();
+        m_flushPlanned = true;
+        if (count < m_batchSize)
+            break;
+    }
+    m_flushPlanned = false;
+}
+
+std::size_t UdpSocket::readBatch()
+{
+    m_batch->prepareReceive();
+    const int count = ::recvmmsg(m_socket.native_handle(), m_batch->headers.data(),
+                                 static_cast<unsigned>(m_batchSize), MSG_DONTWAIT, nullptr);
+    if (count >= 0)
+        return static_cast<std::size_t>(count);
+    if (!isPassing(errno))
+        throw boost::system::system_error(errno, boost::system::system_category(), "recvmmsg");
+    return 0;
+}
+
+void UdpSocket::deliver(std::size_t count)
+{
+    m_counters.datagramsIn += count;
+    for (std::size_t index = 0; index < count; ++index) {
+        const mmsghdr &header = m_batch->headers[index];
+        m_counters.bytesIn += header.msg_len;
+        if ((header.msg_hdr.msg_flags & MSG_TRUNC) != 0) {
+            ++m_counters.truncated;
+            continue;
+        }
+        const char *bytes = m_batch->bytes.get() + index * SlotBytes;
+        m_receive(fromSockaddr(m_batch->addresses[index]), {bytes, header.msg_len});
+    }
+}
+
+void UdpSocket::flush()
+{
+    m_flushPlanned = false;
+    std::size_t sent = 0;
+    while (sent < m_outgoing.size()) {
+        const std::size_t count = sendBatch(sent);
+        if (count > 0) {
+            sent += count;
+            continue;
+        }
+        ++m_counters.sendDrops; // the first of the batch can't be sent; the rest may
+        ++sent;
+    }
+    m_outgoing.clear();
+}
+
+std::size_t UdpSocket::sendBatch(std::size_t first)
+{
+    const std::size_t size = std::min(m_batchSize, m_outgoing.size() - first);
+    for (std::size_t index = 0; index < size; ++index) {
+        Outgoing &outgoing = m_outgoing[first + index];
+        m_batch->addresses[index] = toSockaddr(outgoing.to);
+        m_batch->vectors[index] = {outgoing.bytes.data(), outgoing.bytes.size()};
+        msghdr &header = m_batch->headers[index].msg_hdr;
+        header = {};
+        header.msg_iov = &m_batch->vectors[index];
+        header.msg_iovlen = 1;
+        header.msg_name = &m_batch->addresses[index];
+        header.msg_namelen = sizeof(sockaddr_in);
+    }
+    const int count = ::sendmmsg(m_socket.native_handle(), m_batch->headers.data(),
+                                 static_cast<unsigned>(size), MSG_DONTWAIT);
+    if (count <= 0)
+        return 0;
+    for (int index = 0; index < count; ++index)
+        m_counters.bytesOut += m_outgoing[first + static_cast<std::size_t>(index)].bytes.size();
+    m_counters.datagramsOut += static_cast<std::uint64_t>(count);
+    return static_cast<std::size_t>(count);
+}
+
+} // namespace baobabtrail::daemon
--- /dev/null
+++ b/src/daemon/net/udp_socket.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "core/endpoint.h"
+#include "daemon/metrics/metrics.h"
+#include "daemon/settings/settings.h"
+#include "daemon/supervisor/supervisor.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace baobabtrail::daemon {
+
+/// \brief A UDP socket that reads and sends many datagrams with one system call.
+///
+/// Datagrams that are sent from within a receive handler leave together, after the batch.
+class UdpSocket
+{
+public:
+    using Receive = std::function<void(const Endpoint &from, std::string_view bytes)>;
+
+    /// \param failed Called where the socket can't be read any more.
+    /// \throws boost::system::system_error where the address can't be bound.
+    UdpSocket(boost::asio::io_context &context, const Endpoint &local,
+              const SocketSettings &settings, SocketCounters &counters, Receive receive,
+              FailureHandler failed);
+    ~UdpSocket();
+    UdpSocket(const UdpSocket &) = delete;
+    UdpSocket &operator=(const UdpSocket &) = delete;
+
+    /// \brief Sends soon. A full kernel buffer drops the datagram, as the network might.
+    void send(const Endpoint &to, std::string bytes);
+
+private:
+    struct Outgoing
+    {
+        Endpoint to;
+        std::string bytes;
+    };
+    struct Batch;
+
+    void waitForDatagrams();
+    void readBatches();
+    [[nodiscard]] std::size_t readBatch();
+    void deliver(std::size_t count);
+    void flush();
+    [[nodiscard]] std::size_t sendBatch(std::size_t first);
+
+    boost::asio::ip::udp::socket m_socket;
+    std::size_t m_batchSize;
+    SocketCounters &m_counters;
+    Receive m_receive;
+    FailureHandler m_failed;
+    std::unique_ptr<Batch> m_batch;
+    std::vector<Outgoing> m_outgoing;
+    bool m_flushPlanned = false;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace baobabtrail::daemon
