Put the daemon together below a tree of supervisors

Network parts and the administration API are restarted alone. A core that threw is not: one that starts anew has forgotten which requests it sent to targets, and only a new incarnation makes that visible. It gets no further event and the process ends with status 70. Restarting the core in place with a new incarnation was ruled out: connections, peers' handoffs and the API would all have to learn of it at once, which a new process does by itself.

Target envelopes are told from other frames by their first byte, since parsing one protobuf message as another may seem to work.

--- /dev/null
+++ b/src/daemon/daemon.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "core/keys.h"
+#include "core/traffic/settings.h"
+#include "daemon/admin/admin_api.h"
+#include "daemon/admin/http_server.h"
+#include "daemon/datagrams.h"
+#include "daemon/log/log.h"
+#include "daemon/metrics/metrics.h"
+#include "daemon/net/links.h"
+#include "daemon/net/udp_socket.h"
+#include "daemon/nodes/control_runner.h"
+#include "daemon/nodes/traffic_runner.h"
+#include "daemon/records/records_client.h"
+#include "daemon/records/records_server.h"
+#include "daemon/settings/settings.h"
+#include "daemon/supervisor/supervisor.h"
+#include "platform/client.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <string>
+
+namespace baobabtrail::daemon {
+
+/// \brief How the daemon's process ends.
+enum class ExitStatus : int {
+    Done = 0,
+    BadSettings = 2,
+    Failed = 70, ///< A part kept failing; the VM's service manager starts the process anew.
+};
+
+/// \brief The whole daemon: its parts, below a tree of supervisors, on one thread.
+///
+///     daemon
+///     ├── network         data socket, peer socket, links, records server, records client,
+///     │                   platform
+///     ├── core            traffic core, control core
+///     ├── administration  HTTP
+///     └── signals
+class Daemon
+{
+public:
+    /// \param incarnation Larger at each start of the same daemon.
+    Daemon(Settings settings, Incarnation incarnation);
+    ~Daemon();
+    Daemon(const Daemon &) = delete;
+    Daemon &operator=(const Daemon &) = delete;
+
+    /// \brief Runs until a signal has stopped the daemon or its root supervisor has given up.
+    [[nodiscard]] ExitStatus run();
+
+    /// \brief Begins a graceful stop; a second call ends the daemon at once.
+    void stop();
+
+private:
+    void buildTree();
+    void addNetwork();
+    void addCore();
+    void startTrafficCore(const FailureHandler &failed);
+    void startControlCore(const FailureHandler &failed);
+    void startSignals();
+    [[nodiscard]] SupervisorRuntime runtime();
+
+    [[nodiscard]] TrafficPorts trafficPorts();
+    [[nodiscard]] ControlPorts controlPorts();
+    [[nodiscard]] language::Backend backend();
+
+    void callPlatform(const PlatformRequest &request, std::function<void(PlatformResult)> done);
+    void publish(const ConfigPtr &config);
+    void propose(const ProposeCommand &action);
+    void report(const Notice &notice);
+    [[nodiscard]] Gauges gauges() const;
+
+    void trafficStopped();
+    void finish(ExitStatus status);
+
+    boost::asio::io_context m_context{1};
+    Settings m_settings;
+    NodeIdentity m_identity;
+    Metrics m_metrics;
+    NoticeLog m_log;
+    std::shared_ptr<KeyRing> m_keys;
+    ConfigPtr m_config = std::make_shared<const Config>();
+
+    std::unique_ptr<UdpSocket> m_dataSocket;
+    std::unique_ptr<UdpSocket> m_peerSocket;
+    std::unique_ptr<Links> m_links;
+    std::unique_ptr<RecordsServer> m_recordsServer;
+    std::unique_ptr<RecordsClient> m_recordsClient;
+    std::unique_ptr<PlatformClient> m_platform;
+    std::unique_ptr<TrafficRunner> m_traffic;
+    std::unique_ptr<ControlRunner> m_control;
+    std::unique_ptr<HttpServer> m_http;
+    std::unique_ptr<boost::asio::signal_set> m_signals;
+    DatagramSorter m_sorter;
+
+    boost::asio::steady_timer m_stopTimer;
+    bool m_stopping = false;
+    ExitStatus m_status = ExitStatus::Done;
+
+    Supervisor m_network;
+    Supervisor m_core;
+    Supervisor m_administration;
+    Supervisor m_root;
+};
+
+} // namespace baobabtrail::daemon
--- /dev/null
+++ b/src/daemon/datagrams.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "core/control/events.h"
+#include "core/keys.h"
+#include "core/traffic/events.h"
+#include "daemon/metrics/metrics.h"
+
+#include <functional>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+namespace baobabtrail::daemon {
+
+/// \brief Turns datagrams of the two UDP sockets into events, and counts what it can't.
+class DatagramSorter
+{
+public:
+    /// \param fabric IPv4 addresses whose PROXY headers are believed.
+    DatagramSorter(std::vector<std::uint32_t> fabric, std::shared_ptr<const KeyRing> keys,
+                   Counters &counters, std::function<void(TrafficEvent)> toTraffic,
+                   std::function<void(ControlEvent)> toControl);
+
+    /// \brief A datagram of the data socket: of a caller or a target, through the fabric.
+    void fromFabric(const Endpoint &from, std::string_view bytes);
+    /// \brief A datagram of the peer socket: of a daemon, or of a target that answers an open.
+    void fromPeer(const Endpoint &from, std::string_view bytes);
+
+private:
+    void takeCaller(const Endpoint &caller, std::string_view bytes);
+    void takeTarget(const Endpoint &target, std::string_view bytes, SocketCounters &socket);
+
+    std::vector<std::uint32_t> m_fabric;
+    std::shared_ptr<const KeyRing> m_keys;
+    Counters &m_counters;
+    std::function<void(TrafficEvent)> m_toTraffic;
+    std::function<void(ControlEvent)> m_toControl;
+};
+
+} // namespace baobabtrail::daemon
--- /dev/null
+++ b/src/daemon/nodes/control_runner.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "core/control/control_node.h"
+#include "core/keys.h"
+#include "daemon/nodes/core_timer.h"
+#include "daemon/supervisor/supervisor.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace baobabtrail::daemon {
+
+/// \brief What a control node's actions are carried out by. Handlers that are passed on are to be
+/// called once, later.
+struct ControlPorts
+{
+    using Answer = std::function<void(std::optional<std::string>)>;
+
+    std::function<void(const Endpoint &, std::string)> toPeer;
+    std::function<void(const Endpoint &, const std::string &, Answer)> fetch;
+    std::function<void(const PlatformRequest &, std::function<void(PlatformResult)>)> platform;
+    std::function<void(const ConfigPtr &)> publishConfig;
+    std::function<void(const ViewPtr &)> publishView;
+    std::function<void(const Notice &)> notice;
+};
+
+/// \brief Runs a ControlNode: gives it the time and its timer, and carries out its actions.
+class ControlRunner
+{
+public:
+    using ProposalHandler = std::function<void(const ProposalOutcome &)>;
+
+    ControlRunner(boost::asio::io_context &context, const NodeIdentity &identity,
+                  const ControlSettings &settings, std::shared_ptr<const KeyRing> keys,
+                  std::uint64_t seed, ControlPorts ports, FailureHandler failed);
+    /// \brief Ends what is proposed with an unknown outcome.
+    ~ControlRunner();
+    ControlRunner(const ControlRunner &) = delete;
+    ControlRunner &operator=(const ControlRunner &) = delete;
+
+    /// \brief Starts the node. Apart from the constructor, since it publishes at once.
+    void start();
+    void handle(ControlEvent event);
+
+    /// \param done Called once, later.
+    void propose(Propose proposal, ProposalHandler done);
+    /// \return The encoded answer to a peer's request, or nothing where it is none of a daemon's.
+    [[nodiscard]] std::optional<std::string> serve(std::string_view request) const;
+    /// \brief Asks a peer for its status.
+    void fetchStatus(const Endpoint &records,
+                     std::function<void(std::optional<DomainStatus>)> done) const;
+
+    [[nodiscard]] const ControlNode &node() const noexcept { return m_node; }
+
+private:
+    /// \brief After an exception the node may hold half of a change: it gets no further event.
+    [[nodiscard]] FailureHandler failOnce();
+    void perform();
+    void perform(ControlSendToPeer &action);
+    void perform(FetchFromPeer &action);
+    void perform(PlatformCall &action);
+    void perform(PublishConfig &action) { m_ports.publishConfig(action.config); }
+    void perform(PublishView &action) { m_ports.publishView(action.view); }
+    void perform(ProposalDone &action);
+    void perform(Notice &action) { m_ports.notice(action); }
+
+    [[nodiscard]] std::optional<RecordsMessage>
+    decode(const std::optional<std::string> &bytes) const;
+
+    boost::asio::io_context &m_context;
+    NodeIdentity m_identity;
+    std::shared_ptr<const KeyRing> m_keys;
+    ControlPorts m_ports;
+    FailureHandler m_failed;
+    ControlNode m_node;
+    ControlActions m_actions;
+    CoreTimer m_timer;
+    std::map<ProposalId, ProposalHandler> m_proposals;
+    std::uint64_t m_lastProposal = 0;
+    bool m_broken = false;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace baobabtrail::daemon
--- /dev/null
+++ b/src/daemon/nodes/traffic_runner.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "core/keys.h"
+#include "core/traffic/traffic_node.h"
+#include "daemon/nodes/core_timer.h"
+#include "daemon/supervisor/supervisor.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace baobabtrail::daemon {
+
+/// \brief What a traffic node's actions are carried out by.
+struct TrafficPorts
+{
+    std::function<void(const Endpoint &, std::string)> toCaller;
+    std::function<void(const Endpoint &, std::string)> toPeer;
+    std::function<void(const Endpoint &, std::string)> toTarget;
+    std::function<void(const OpenLink &)> openLink;
+    std::function<void(const CloseLink &)> closeLink;
+    std::function<void(const SendOnLink &)> sendOnLink;
+    std::function<void(const ProposeCommand &)>
+        propose; ///< Called later, not from within handle().
+    std::function<void(const Notice &)> notice;
+    std::function<void(const Observation &)> observe;
+    std::function<void()> stopped;
+};
+
+/// \brief Runs a TrafficNode: gives it the time and its timer, and carries out its actions.
+class TrafficRunner
+{
+public:
+    TrafficRunner(boost::asio::io_context &context, const NodeIdentity &identity,
+                  const TrafficSettings &settings, std::shared_ptr<const KeyRing> keys,
+                  std::uint64_t seed, TrafficPorts ports, FailureHandler failed);
+    TrafficRunner(const TrafficRunner &) = delete;
+    TrafficRunner &operator=(const TrafficRunner &) = delete;
+
+    void handle(TrafficEvent event);
+
+    [[nodiscard]] const TrafficNode &node() const noexcept { return m_node; }
+
+private:
+    /// \brief After an exception the node may hold half of a change: it gets no further event.
+    [[nodiscard]] FailureHandler failOnce();
+    void perform();
+    void perform(SendToCaller &action);
+    void perform(SendToPeer &action);
+    void perform(SendToTarget &action);
+    void perform(OpenLink &action) { m_ports.openLink(action); }
+    void perform(CloseLink &action) { m_ports.closeLink(action); }
+    void perform(SendOnLink &action) { m_ports.sendOnLink(action); }
+    void perform(ProposeCommand &action);
+    void perform(Notice &action) { m_ports.notice(action); }
+    void perform(Observation &action) { m_ports.observe(action); }
+    void perform(Stopped &) { m_ports.stopped(); }
+
+    boost::asio::io_context &m_context;
+    NodeIdentity m_identity;
+    std::shared_ptr<const KeyRing> m_keys;
+    TrafficPorts m_ports;
+    FailureHandler m_failed;
+    TrafficNode m_node;
+    TrafficActions m_actions;
+    CoreTimer m_timer;
+    bool m_broken = false;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace baobabtrail::daemon
--- a/src/daemon/settings/settings.h
+++ b/src/daemon/settings/settings.h
@@ -77,7 +77,8 @@
     std::vector<std::uint32_t> fabric; ///< IPv4 addresses whose PROXY headers are believed.
     PlatformClientSettings platform;
     std::string clusterSecret;
-    Duration stopTimeout = 30s;
+    Duration stopTimeout = 30s; ///< Longest graceful stop.
+    Duration stopLinger = 1s;   ///< Flows are forwarded for this long after the last request.
     SocketSettings sockets;
     LinkSettings links;
     RecordsSettings records;
--- a/src/daemon/settings/settings_reader.cpp
+++ b/src/daemon/settings/settings_reader.cpp
@@ -157,6 +157,7 @@
     reader.duration("openTimeout", out.openTimeout, 5ms, 1min);
     reader.number("silentAfter", out.silentAfter, 1, 1000);
     reader.number("maxAnswerResends", out.maxAnswerResends, 0, 1000);
+    reader.number("maxAnswerBytes", out.maxAnswerBytes, 1 << 20, std::uint64_t{1} << 36);
     reader.number("answerPartBytes", out.answerPartBytes, 128, 32768);
 }
 
@@ -202,6 +203,7 @@
         readSecret(reader, "clusterSecretFile", secretFile, MinSecretBytes, out.clusterSecret);
 
     reader.duration("stopTimeout", out.stopTimeout, 0s, 1h);
+    reader.duration("stopLinger", out.stopLinger, 0s, 10min);
     reader.section("sockets", [&](ObjectReader &nested) { readSockets(nested, out.sockets); });
     reader.section("links", [&](ObjectReader &nested) { readLinks(nested, out.links); });
     reader.section("records", [&](ObjectReader &nested) { readRecords(nested, out.records); });
