--- /dev/null
+++ b/tests/daemon/datagrams_test.cpp
@@ -0,0 +1,113 @@
+#include "daemon/datagrams.h"
+#include "daemon/net/frame_kind.h"
+#include "wire/codec.h"
+
+#include <string>
+
+#include <criterion/criterion.h>
+
+using namespace baobabtrail;
+using namespace baobabtrail::daemon;
+
+namespace {
+
+constexpr Endpoint Fabric{0x0a000001, 5000};
+constexpr Endpoint Stranger{0x0a000002, 5000};
+constexpr Endpoint Caller{0xc0a80001, 6000};
+constexpr Endpoint Target{0x0a000101, 7000};
+
+[[nodiscard]] std::shared_ptr<const KeyRing> keys()
+{
+    const std::vector<std::byte> secret(32, std::byte{7});
+    return std::make_shared<const KeyRing>(secret, KeyEpoch{1});
+}
+
+[[nodiscard]] CallerMessage openFlow()
+{
+    return FlowMessage{OpenFlow{FlowId{42}, ServiceId{7}, {}, 0}};
+}
+
+[[nodiscard]] TargetDatagram fromTarget()
+{
+    TargetDatagram datagram;
+    datagram.caller = Caller;
+    datagram.token.service = ServiceId{7};
+    datagram.body = FlowData{FlowId{42}, datagram.token, "feed"};
+    return datagram;
+}
+
+/// \brief A sorter whose events are kept.
+struct Sorted
+{
+    Counters counters;
+    std::vector<TrafficEvent> traffic;
+    std::vector<ControlEvent> control;
+    DatagramSorter sorter{{Fabric.address},
+                          keys(),
+                          counters,
+                          [this](TrafficEvent event) { traffic.push_back(std::move(event)); },
+                          [this](ControlEvent event) { control.push_back(std::move(event)); }};
+};
+
+} // namespace
+
+// Each kind of datagram arrives where it can.
+// Parsing a target's envelope as a caller's frame may seem to work, and the target's answer would
+// be lost; so the kinds are told apart before either is parsed.
+Test(datagrams, eachKindBecomesItsEvent)
+{
+    Sorted sorted;
+    const std::string header = wire::proxyHeader(Caller, {});
+    sorted.sorter.fromFabric(Fabric, header + wire::encode(openFlow()));
+    cr_assert_eq(sorted.traffic.size(), 1);
+    const auto *caller = std::get_if<FromCaller>(&sorted.traffic[0]);
+    cr_assert(caller && caller->caller == Caller);
+
+    sorted.sorter.fromFabric(Fabric, wire::proxyHeader(Target, {}) + wire::encode(fromTarget()));
+    sorted.sorter.fromPeer(Target, wire::encode(fromTarget()));
+    cr_assert_eq(sorted.traffic.size(), 3);
+    for (const std::size_t index : {1, 2}) {
+        const auto *target = std::get_if<FromTarget>(&sorted.traffic[index]);
+        cr_assert(target && target->address == Target && target->datagram.caller == Caller);
+    }
+
+    sorted.sorter.fromPeer(Stranger, wire::encode(PeerDatagram{{}, {}, Ping{}}, *keys()));
+    sorted.sorter.fromPeer(Stranger, wire::encode(PeerDatagram{{}, {}, HandoffReply{}}, *keys()));
+    cr_assert_eq(sorted.control.size(), 1);
+    cr_assert_eq(sorted.traffic.size(), 4);
+    cr_assert(std::holds_alternative<FromPeer>(sorted.traffic[3]));
+}
+
+// A stranger who reaches the data address writes a PROXY header of its own: it would speak for
+// any caller, and for a target whose address it names.
+// Only the fabric's addresses are believed; whatever else arrives is counted and dropped.
+Test(datagrams, whatIsForgedOrDamagedIsCountedAndDropped)
+{
+    Sorted sorted;
+    const std::string good = wire::proxyHeader(Caller, {}) + wire::encode(openFlow());
+    sorted.sorter.fromFabric(Stranger, good);
+    sorted.sorter.fromFabric(Fabric, wire::encode(openFlow()));
+    sorted.sorter.fromFabric(Fabric, "");
+    cr_assert_eq(sorted.counters.data.badSource, 3);
+
+    sorted.sorter.fromFabric(Fabric, wire::proxyHeader(Caller, {}) + "\x0a\xff");
+    sorted.sorter.fromFabric(Fabric, wire::proxyHeader(Caller, {}) + "\x09\xff");
+    const auto malformed = static_cast<std::size_t>(wire::DecodeError::Malformed);
+    cr_assert_eq(sorted.counters.data.decodeErrors[malformed], 2);
+
+    std::string ping = wire::encode(PeerDatagram{{}, {}, Ping{}}, *keys());
+    ping.back() ^= 1;
+    sorted.sorter.fromPeer(Stranger, ping);
+    const auto badMac = static_cast<std::size_t>(wire::DecodeError::BadMac);
+    cr_assert_eq(sorted.counters.peer.decodeErrors[badMac], 1);
+    cr_assert(sorted.traffic.empty() && sorted.control.empty());
+}
+
+Test(datagrams, onlyATargetsEnvelopeLooksLikeOne)
+{
+    cr_assert(isTargetFrame(wire::encode(fromTarget())));
+    cr_assert(!isTargetFrame(wire::encode(openFlow())));
+    cr_assert(!isTargetFrame(wire::encode(CallerMessage{RequestMessage{Reserve{}}})));
+    cr_assert(!isTargetFrame(wire::encode(PeerDatagram{{}, {}, Ping{}}, *keys())));
+    cr_assert(!isTargetFrame({}));
+}
