--- a/bench/control.cpp
+++ b/bench/control.cpp
@@ -59,7 +59,8 @@
             if (const auto *sent = std::get_if<ControlSendToPeer>(&action))
                 countDatagram(node, *sent);
             if (const auto *fetch = std::get_if<FetchFromPeer>(&action))
-                m_bytes[node] += FetchOverheadBytes / 2 + wire::encode(fetch->message, m_keys).size();
+                m_bytes[node]
+                    += FetchOverheadBytes / 2 + wire::encode(fetch->message, m_keys).size();
         };
         net.observeAnswer = [this](std::size_t server, std::size_t, const RecordsMessage &answer) {
             m_bytes[server] += FetchOverheadBytes / 2 + wire::encode(answer, m_keys).size();
@@ -205,8 +206,8 @@
     for (std::size_t i = 0; i < Changes; ++i) {
         const TimePoint begin = net.now();
         const Revision next{net.revision(0).value() + 1};
-        net.propose(net.size() / 2, change("c" + std::to_string(i),
-                                           {SetWeight{targetName("lending", "t1"), 50}}));
+        net.propose(net.size() / 2,
+                    change("c" + std::to_string(i), {SetWeight{targetName("lending", "t1"), 50}}));
         waitForEach(net, BetweenChanges, inForce,
                     [&](std::size_t node) { return net.revision(node) >= next; });
         net.run(BetweenChanges - (net.now() - begin));
@@ -243,12 +244,13 @@
 int main(int argc, char **argv)
 {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    std::cout << "| domains × daemons | calls/s, quiet | calls per change | calls per start | "
-                 "bytes/s sent, mean / max | bytes sent per change, mean / max | "
-                 "in force, ms, median / max | death seen by all, ms | µs per event | % of a core | "
-                 "KiB per daemon |\n|---|---|---|---|---|---|---|---|---|---|---|\n";
-    for (const Size &size : {Size{3, 3}, Size{3, 8}, Size{3, 20}, Size{1, 60}, Size{1, 105},
-                             Size{6, 105}}) {
+    std::cout
+        << "| domains × daemons | calls/s, quiet | calls per change | calls per start | "
+           "bytes/s sent, mean / max | bytes sent per change, mean / max | "
+           "in force, ms, median / max | death seen by all, ms | µs per event | % of a core | "
+           "KiB per daemon |\n|---|---|---|---|---|---|---|---|---|---|---|\n";
+    for (const Size &size :
+         {Size{3, 3}, Size{3, 8}, Size{3, 20}, Size{1, 60}, Size{1, 105}, Size{6, 105}}) {
         if (size.domains * size.perDomain <= FLAGS_largest)
             measure(size);
     }
--- a/src/daemon/admin/access_keys.cpp
+++ b/src/daemon/admin/access_keys.cpp
@@ -1,16 +1,14 @@
 #include "daemon/admin/access_keys.h"
 
-#include <sodium.h>
+#include "core/access_key.h"
 
-#include <algorithm>
-#include <array>
+#include <sodium.h>
 
 namespace baobabtrail::daemon {
 
 namespace {
 
-constexpr std::size_t HashBytes = 32;
-constexpr std::size_t HashDigits = 2 * HashBytes;
+constexpr std::size_t HashDigits = 64;
 constexpr std::string_view OperatorName = "operator";
 
 /// \brief Compares in a time that does not depend on how many digits match, so that answers can't
@@ -23,22 +21,6 @@
 
 } // namespace
 
-std::string accessKeyHash(std::string_view key)
-{
-    std::array<unsigned char, HashBytes> hash{};
-    crypto_generichash(hash.data(), hash.size(),
-                       reinterpret_cast<const unsigned char *>(key.data()), key.size(), nullptr, 0);
-    std::array<char, HashDigits + 1> digits{};
-    sodium_bin2hex(digits.data(), digits.size(), hash.data(), hash.size());
-    return std::string{digits.data(), HashDigits};
-}
-
-bool isAccessKeyHash(std::string_view text) noexcept
-{
-    constexpr std::string_view Digits = "0123456789abcdef";
-    return text.size() == HashDigits && text.find_first_not_of(Digits) == std::string_view::npos;
-}
-
 std::optional<language::Caller> findCaller(std::string_view key,
                                            const std::vector<std::string> &operatorHashes,
                                            const Config &config)
--- a/src/daemon/admin/access_keys.h
+++ b/src/daemon/admin/access_keys.h
@@ -10,14 +10,6 @@
 
 namespace baobabtrail::daemon {
 
-/// \brief Hash by which an access key is known: BLAKE2b-256, 64 hexadecimal digits.
-///
-/// Keys are random texts, not passwords, so a fast hash is enough.
-[[nodiscard]] std::string accessKeyHash(std::string_view key);
-
-/// \return Whether the text has the form of accessKeyHash().
-[[nodiscard]] bool isAccessKeyHash(std::string_view text) noexcept;
-
 /// \brief Says who an access key belongs to.
 /// \param key What the request carries.
 /// \param operatorHashes Hashes of the operators' keys.
--- a/src/daemon/settings/settings_reader.cpp
+++ b/src/daemon/settings/settings_reader.cpp
@@ -1,6 +1,6 @@
 #include "daemon/settings/settings_reader.h"
 
-#include "daemon/admin/access_keys.h"
+#include "core/access_key.h"
 #include "daemon/settings/object_reader.h"
 #include "daemon/settings/secret_file.h"
 
--- a/tests/settings/settings_reader_test.cpp
+++ b/tests/settings/settings_reader_test.cpp
@@ -1,3 +1,4 @@
+#include "core/access_key.h"
 #include "daemon/admin/access_keys.h"
 #include "daemon/settings/duration_text.h"
 #include "daemon/settings/settings_reader.h"
--- a/tests/support/fake_control_net.h
+++ b/tests/support/fake_control_net.h
@@ -408,7 +408,7 @@
 
     ControlSettings m_settings;
     Random m_random;
-    VirtualTime m_time;
+    VirtualTime m_time{TimePoint{1s}};
     FakeCuts m_cuts;
     FakeWatches m_watches;
     std::uint64_t m_incarnations = 0;
--- a/tests/support/virtual_time.h
+++ b/tests/support/virtual_time.h
@@ -15,6 +15,8 @@
 class VirtualTime
 {
 public:
+    explicit VirtualTime(TimePoint start = TimePoint{1h}) noexcept : m_now(start) {}
+
     [[nodiscard]] TimePoint now() const noexcept { return m_now; }
 
     void at(TimePoint time, std::function<void()> run)
@@ -68,7 +70,7 @@
         event.run();
     }
 
-    TimePoint m_now{Duration{1h}};
+    TimePoint m_now;
     std::uint64_t m_order = 0;
     std::priority_queue<Event> m_events;
 };
