--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -68,6 +68,13 @@
     return run.play(way);
 }
 
+[[nodiscard]] RequestResult product(const Scenario &scenario, const Layout &layout, bool shared)
+{
+    RequestRun run{scenario, layout, FLAGS_seed};
+    ProductWay way{run, shared};
+    return run.play(way);
+}
+
 void compare(const Scenario &scenario, const Layout &layout)
 {
     if (scenario.name.find(FLAGS_only) == std::string::npos)
@@ -78,9 +85,8 @@
     const double boundP99 = quantile(bound.latencies, 0.99);
     printRow("random", baseline(scenario, layout, Baseline::Random), boundP99);
     printRow("two, own counts", baseline(scenario, layout, Baseline::TwoOwnCounts), boundP99);
-    RequestRun run{scenario, layout, FLAGS_seed};
-    ProductWay way{run};
-    const RequestResult ours = run.play(way);
+    printRow("own queues only", product(scenario, layout, false), boundP99);
+    const RequestResult ours = product(scenario, layout, true);
     printRow("baobabtrail", ours, boundP99);
     printRow("shortest queue", bound, boundP99);
     if (scenario.mixed)
--- a/bench/policy/product_way.h
+++ b/bench/policy/product_way.h
@@ -16,8 +16,11 @@
 class ProductWay
 {
 public:
-    explicit ProductWay(RequestRun &run)
+    /// \param shared Whether a target that comes free takes from the queues of the same daemon's
+    /// other targets.
+    explicit ProductWay(RequestRun &run, bool shared = true)
         : m_run(run)
+        , m_shared(shared)
     {
     }
 
@@ -175,6 +178,8 @@
     void handedOver(std::size_t at, TargetId target, Ask ask)
     {
         TargetTable &table = m_daemons[at]->table;
+        for (const LoadHint &hint : ask.declined)
+            table.hint(hint, m_run.sim.now());
         const LoadHint load = table.loadOf(target, m_run.sim.now());
         const bool takes = table.takesWork(target, m_run.sim.now());
         if (takes && (load.requests < 1.0F || ask.hops >= MaxHops)) {
@@ -268,8 +273,13 @@
                 --m_run.targets[m_index[target]].assigned;
                 return;
             }
-            if (queueOf(at, target).setReady(id))
-                pump(at, target);
+            if (!queueOf(at, target).setReady(id))
+                return;
+            pump(at, target);
+            for (const TargetId other : m_daemons[at]->table.owned()) {
+                if (m_shared && queueOf(at, target).size() > 0)
+                    pump(at, other);
+            }
         });
     }
 
@@ -282,17 +292,39 @@
     void pump(std::size_t at, TargetId target)
     {
         Daemon &daemon = *m_daemons[at];
-        AdmissionQueue &queue = queueOf(at, target);
-        std::vector<QueueEntry> expired;
         while (daemon.table.slotFree(target, m_run.sim.now())) {
-            const std::optional<QueueEntry> next = queue.pop(m_run.sim.now(), expired);
+            std::optional<RequestId> next = takeFrom(at, target);
+            if (!next && m_shared)
+                next = takeFromOthers(at, target);
             if (!next)
                 break;
-            dispatch(at, target, next->request);
+            dispatch(at, target, *next);
         }
+    }
+
+    [[nodiscard]] std::optional<RequestId> takeFrom(std::size_t at, TargetId target)
+    {
+        std::vector<QueueEntry> expired;
+        const std::optional<QueueEntry> next = queueOf(at, target).pop(m_run.sim.now(), expired);
         for (const QueueEntry &entry : expired)
             dropped(at, target, entry.request);
         waitingChanged(at, target);
+        return next ? std::optional{next->request} : std::nullopt;
+    }
+
+    [[nodiscard]] std::optional<RequestId> takeFromOthers(std::size_t at, TargetId target)
+    {
+        for (const auto &[other, queue] : m_daemons[at]->queues) {
+            if (other == target || queue.size() == 0)
+                continue;
+            const std::optional<RequestId> next = takeFrom(at, other);
+            if (!next)
+                continue;
+            --m_run.targets[m_index[other]].assigned;
+            ++m_run.targets[m_index[target]].assigned;
+            return next;
+        }
+        return std::nullopt;
     }
 
     void dispatch(std::size_t at, TargetId target, const RequestId &id)
@@ -329,6 +361,7 @@
     }
 
     RequestRun &m_run;
+    bool m_shared;
     Config m_config;
     std::map<TargetId, std::size_t> m_index;
     std::vector<std::unique_ptr<Daemon>> m_daemons;
--- a/src/core/limits/admission_queue.cpp
+++ b/src/core/limits/admission_queue.cpp
@@ -61,9 +61,9 @@
     if (lanes.size() < capacity)
         return true;
     displaced = lanes.takeNewestOfLesserClass(entry.requestClass);
-    // A tenant that floods fills every place; one that keeps below its share takes its place back.
+    // A tenant that floods fills every place; the others take their shares back from it.
     if (!displaced)
-        displaced = lanes.takeNewestOfGreedier(entry, capacity);
+        displaced = lanes.takeNewestOfGreedier(entry);
     return displaced.has_value();
 }
 
--- a/src/core/limits/impl/queue_lanes.cpp
+++ b/src/core/limits/impl/queue_lanes.cpp
@@ -140,9 +140,9 @@
     return std::nullopt;
 }
 
-double QueueLanes::shareOf(const Tenant &tenant, bool present, std::size_t capacity) const noexcept
+double QueueLanes::shareOf(const Tenant &tenant, std::size_t capacity) const noexcept
 {
-    double weights = present ? 0 : tenant.weight;
+    double weights = 0;
     for (const auto &[name, other] : m_tenants) {
         if (other.held > 0)
             weights += other.weight;
@@ -150,22 +150,18 @@
     return static_cast<double>(capacity) * tenant.weight / std::max(weights, 1.0);
 }
 
-std::optional<QueueEntry> QueueLanes::takeNewestOfGreedier(const QueueEntry &arrival,
-                                                           std::size_t capacity)
+std::optional<QueueEntry> QueueLanes::takeNewestOfGreedier(const QueueEntry &arrival)
 {
     const Tenant &mine = tenantOf(arrival.tenant);
-    const double share = shareOf(mine, mine.held > 0, capacity);
-    if (static_cast<double>(mine.held) + 1 > share)
-        return std::nullopt;
     const std::size_t lane = laneOf(arrival.requestClass);
     Tenant *greediest = nullptr;
-    double most = 1.0;
+    double most = (static_cast<double>(mine.held) + 1) / mine.weight;
     for (auto &[name, tenant] : m_tenants) {
-        const double used = static_cast<double>(tenant.held) / shareOf(tenant, true, capacity);
+        const double held = static_cast<double>(tenant.held) / tenant.weight;
         const bool inLane = !tenant.ready[lane].empty() || !tenant.reserved[lane].empty();
-        if (!inLane || used <= most)
+        if (!inLane || held <= most)
             continue;
-        most = used;
+        most = held;
         greediest = &tenant;
     }
     if (!greediest)
@@ -186,7 +182,7 @@
     const auto found = m_tenants.find(tenant);
     if (found == m_tenants.end() || found->second.held == size())
         return false;
-    return static_cast<double>(found->second.held) + 1 > shareOf(found->second, true, capacity);
+    return static_cast<double>(found->second.held) + 1 > shareOf(found->second, capacity);
 }
 
 } // namespace baobabtrail::impl
--- a/src/core/limits/impl/queue_lanes.h
+++ b/src/core/limits/impl/queue_lanes.h
@@ -29,10 +29,9 @@
     [[nodiscard]] std::optional<QueueEntry> takeNext();
     void takeExpired(TimePoint now, std::vector<QueueEntry> &expired);
     [[nodiscard]] std::optional<QueueEntry> takeNewestOfLesserClass(RequestClass than);
-    /// \brief Takes the newest entry, of the arrival's class or a lesser one, of the tenant that is
-    /// furthest above its share, where the arrival's tenant is below its own.
-    [[nodiscard]] std::optional<QueueEntry> takeNewestOfGreedier(const QueueEntry &arrival,
-                                                                 std::size_t capacity);
+    /// \brief Takes the newest entry of the arrival's class from the tenant that holds most for its
+    /// weight, where that is more than the arrival's tenant would hold.
+    [[nodiscard]] std::optional<QueueEntry> takeNewestOfGreedier(const QueueEntry &arrival);
 
     [[nodiscard]] std::size_t size() const noexcept { return m_byRequest.size(); }
     /// \return Entries that start before \a arrival would.
@@ -63,8 +62,7 @@
     [[nodiscard]] Tenant &tenantOf(const std::string &name);
     [[nodiscard]] QueueEntry take(const RequestId &request);
     [[nodiscard]] std::optional<QueueEntry> takeNewest(std::size_t lane, Tenant *only);
-    [[nodiscard]] double shareOf(const Tenant &tenant, bool present,
-                                 std::size_t capacity) const noexcept;
+    [[nodiscard]] double shareOf(const Tenant &tenant, std::size_t capacity) const noexcept;
     [[nodiscard]] static Entries &entriesOf(const Place &place) noexcept;
 
     std::map<std::string, Tenant> m_tenants;
--- a/src/core/targets/impl/configure.cpp
+++ b/src/core/targets/impl/configure.cpp
@@ -1,6 +1,6 @@
 #include "core/targets/impl/table.h"
 
-#include <algorithm>
+#include <set>
 #include <utility>
 
 namespace baobabtrail {
@@ -12,16 +12,6 @@
     return a.generation == b.generation && a.flows == b.flows && a.requests == b.requests;
 }
 
-[[nodiscard]] std::vector<Member> reachable(const std::vector<Member> &members)
-{
-    std::vector<Member> result;
-    for (const Member &member : members) {
-        if (member.state == MemberState::Alive)
-            result.push_back(member);
-    }
-    return result;
-}
-
 } // namespace
 
 void TargetTable::Impl::configure(ConfigPtr newConfig, ViewPtr newView, TimePoint now)
@@ -29,9 +19,7 @@
     const bool first = records.empty();
     config = std::move(newConfig);
     view = std::move(newView);
-    remoteMembers.clear();
-    for (const auto &[domain, members] : view->remote)
-        remoteMembers[domain] = reachable(members);
+    readRemoteViews();
 
     auto before = std::exchange(records, {});
     auto groupsBefore = std::exchange(groups, {});
@@ -49,6 +37,28 @@
     }
 }
 
+void TargetTable::Impl::readRemoteViews()
+{
+    remoteViews.clear();
+    std::set<DaemonId> known;
+    for (const Member &member : view->members)
+        known.insert(member.id);
+    for (const auto &[domain, members] : view->remote) {
+        remoteViews[domain].members = members;
+        for (const Member &member : members)
+            known.insert(member.id);
+    }
+    std::erase_if(contacts, [&](const auto &item) { return !known.contains(item.first); });
+}
+
+const Member *TargetTable::Impl::ownerOf(const TargetConfig &target) const noexcept
+{
+    if (target.domain == view->domain)
+        return view->ownerOf(target.id);
+    const auto found = remoteViews.find(target.domain);
+    return found == remoteViews.end() ? nullptr : found->second.ownerOf(target.id);
+}
+
 std::unique_ptr<impl::TargetRecord> TargetTable::Impl::keepOrMake(std::unique_ptr<Record> old,
                                                                   const TargetConfig &target,
                                                                   ServiceId service,
@@ -65,8 +75,8 @@
     old->config = target;
     old->service = service;
     old->local = target.domain == view->domain;
-    old->owner = old->local ? view->ownerOf(target.id) : nullptr;
-    const bool own = old->owner && old->owner->id == view->self;
+    old->owner = ownerOf(target);
+    const bool own = old->local && old->owner && old->owner->id == view->self;
     if (own != old->own) {
         // Evidence of an earlier time as owner is out of date, and the link has to be made anew.
         old->evidence = impl::Evidence{};
@@ -81,15 +91,9 @@
 
 void TargetTable::Impl::addToGroup(Group &holder, Record &record)
 {
-    if (record.local) {
-        holder.local.push_back(&record);
-        return;
-    }
-    const auto found = remoteMembers.find(record.config.domain);
-    if (found == remoteMembers.end() || found->second.empty())
-        return;
-    record.remoteOwners = &found->second;
-    holder.remote.push_back(&record);
+    record.contact = record.owner && !record.own ? &contacts[record.owner->id] : nullptr;
+    std::vector<Record *> &list = record.local ? holder.local : holder.remote;
+    list.push_back(&record);
 }
 
 TargetTable::Impl::Record *TargetTable::Impl::find(TargetId target) noexcept
--- a/src/core/targets/impl/heard_load.cpp
+++ b/src/core/targets/impl/heard_load.cpp
@@ -10,7 +10,7 @@
 constexpr Duration UnavailableFor = 2s;
 constexpr std::uint32_t SilentAfterAsks = 3;
 constexpr Duration SilentAfter = 100ms;
-constexpr Duration SilentRetry = 500ms;
+constexpr Duration SilentRetry = 1s;
 
 [[nodiscard]] double fading(Duration age, Duration fade) noexcept
 {
@@ -25,27 +25,6 @@
     m_heardAt = now;
     m_requestsSent = 0;
     m_flowsSent = 0;
-    m_unanswered = 0;
-}
-
-void HeardLoad::sent(TimePoint now) noexcept
-{
-    if (m_unanswered == 0)
-        m_unansweredSince = now;
-    ++m_unanswered;
-    m_lastSent = now;
-}
-
-void HeardLoad::sentRequest(double share, TimePoint now) noexcept
-{
-    m_requestsSent += share;
-    sent(now);
-}
-
-void HeardLoad::sentFlow(double share, TimePoint now) noexcept
-{
-    m_flowsSent += share;
-    sent(now);
 }
 
 double HeardLoad::requests(double usual, Duration fade, TimePoint now) const noexcept
@@ -67,11 +46,19 @@
     return heard() && m_last.requests >= UnavailableLoad && now - m_heardAt < UnavailableFor;
 }
 
-bool HeardLoad::silent(TimePoint now) const noexcept
+void OwnerContact::asked(TimePoint now) noexcept
+{
+    if (m_unanswered == 0)
+        m_since = now;
+    ++m_unanswered;
+    m_last = now;
+}
+
+bool OwnerContact::silent(TimePoint now) const noexcept
 {
-    if (m_unanswered < SilentAfterAsks || now - m_unansweredSince < SilentAfter)
+    if (m_unanswered < SilentAfterAsks || now - m_since < SilentAfter)
         return false;
-    return now - m_lastSent < SilentRetry;
+    return now - m_last < SilentRetry;
 }
 
 } // namespace baobabtrail::impl
--- a/src/core/targets/impl/heard_load.h
+++ b/src/core/targets/impl/heard_load.h
@@ -15,8 +15,8 @@
 {
 public:
     void hint(const LoadHint &hint, TimePoint now) noexcept;
-    void sentRequest(double share, TimePoint now) noexcept;
-    void sentFlow(double share, TimePoint now) noexcept;
+    void sentRequest(double share) noexcept { m_requestsSent += share; }
+    void sentFlow(double share) noexcept { m_flowsSent += share; }
 
     /// \brief What the load is by now: what was heard fades into \a usual.
     ///
@@ -26,22 +26,31 @@
     [[nodiscard]] double flows(double usual, TimePoint now) const noexcept;
     /// \return Whether its owner said lately that it may get no work.
     [[nodiscard]] bool unavailable(TimePoint now) const noexcept;
-    /// \return Whether asks go unanswered, as when the owner has died and the view doesn't show it.
-    [[nodiscard]] bool silent(TimePoint now) const noexcept;
-    /// \brief Word from the same owner about another target: the owner lives.
-    void ownerSpoke() noexcept { m_unanswered = 0; }
     [[nodiscard]] bool heard() const noexcept { return m_heardAt != TimePoint::min(); }
 
 private:
-    void sent(TimePoint now) noexcept;
-
     LoadHint m_last;
     TimePoint m_heardAt = TimePoint::min();
     double m_requestsSent = 0; ///< Asks sent since, over the target's limit.
     double m_flowsSent = 0;
+};
+
+/// \brief Whether another daemon answers the asks that are handed to it.
+///
+/// The view drops a dead daemon only after seconds; until then every ask that it gets is lost and
+/// its caller waits for nothing. Three asks without an answer end that; one a second finds out
+/// whether it is back.
+class OwnerContact
+{
+public:
+    void asked(TimePoint now) noexcept;
+    void answered() noexcept { m_unanswered = 0; }
+    [[nodiscard]] bool silent(TimePoint now) const noexcept;
+
+private:
     std::uint32_t m_unanswered = 0;
-    TimePoint m_unansweredSince{};
-    TimePoint m_lastSent{};
+    TimePoint m_since{};
+    TimePoint m_last{};
 };
 
 } // namespace baobabtrail::impl
--- a/src/core/targets/impl/owner_side.cpp
+++ b/src/core/targets/impl/owner_side.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr double ForeignGain = 0.05;
+constexpr double AheadAbove = 2.0;
+constexpr Duration NoAheadAfterShed = 60s;
 constexpr double FadeGain = 0.02;
 constexpr Duration ShortestFade = 5ms;
 constexpr int PatienceInServiceTimes = 3;
@@ -56,7 +58,19 @@
 
 bool TargetTable::Impl::slotFree(const Record &record, TimePoint now) const noexcept
 {
-    return takesWork(record, now) && record.running < attemptsAllowed(record, now);
+    const std::uint32_t ahead = mayRunAhead(record, now) ? 1 : 0;
+    return takesWork(record, now) && record.running < attemptsAllowed(record, now) + ahead;
+}
+
+bool TargetTable::Impl::mayRunAhead(const Record &record, TimePoint now) const noexcept
+{
+    // Between an answer and the next dispatch a slot is idle for a round trip, a few hundredths of
+    // the capacity, which is what lacks when all queues are long. Then, and only then, one more
+    // request waits at the target itself.
+    if (record.waiting == 0 || record.evidence.ejected() || now < record.aheadAgain)
+        return false;
+    const Group *holder = group(record.service);
+    return holder && holder->usualRequests >= AheadAbove && record.evidence.share(now) >= 1.0;
 }
 
 bool TargetTable::Impl::takesFlow(const Record &record, TimePoint now) const noexcept
@@ -126,7 +140,12 @@
     case AttemptEnd::Shed:
         record.aliveAt = now;
         record.evidence.answered(now);
-        record.limit.shed(now);
+        // A shed of what was sent ahead of a slot says that the target keeps no queue, not that it
+        // sustains fewer than its slots.
+        if (running > attemptsAllowed(record, now))
+            record.aheadAgain = now + NoAheadAfterShed;
+        else
+            record.limit.shed(now);
         return;
     case AttemptEnd::TimedOut:
         // A caller with a very short deadline says nothing about the target: counted, one
--- a/src/core/targets/impl/placement.cpp
+++ b/src/core/targets/impl/placement.cpp
@@ -15,6 +15,12 @@
 constexpr double SpillAbove = 1.0;
 constexpr double SpillUntil = 0.75;
 constexpr double RemotePenalty = 0.1;
+/// What is known of another domain's daemons may be late, and then a spilled ask needs a forward
+/// there to reach an owner; one that was declined often has none left.
+constexpr std::size_t MostDeclinedToSpill = 1;
+/// A forward costs a fraction of a millisecond, a wait half a service time: worth a try also where
+/// the other target is thought to be somewhat more loaded, as loads last heard are rarely exact.
+constexpr double WorthForward = 2.0;
 constexpr double NoLoad = std::numeric_limits<double>::infinity();
 /// The second candidate of a flow must be clearly less loaded, so that an open that is sent twice
 /// through daemons with slightly different knowledge finds the same target.
@@ -43,18 +49,43 @@
 
 } // namespace
 
-bool TargetTable::Impl::placeable(const Record &record, const std::vector<LoadHint> &declined,
-                                  TimePoint now) const noexcept
+bool TargetTable::Impl::placeable(const Record &record,
+                                  const std::vector<LoadHint> &declined) noexcept
 {
     if (record.config.state != TargetState::Active)
         return false;
-    if (!declined.empty() && contains(declined, record.config.id))
+    if (!record.owner)
         return false;
+    return declined.empty() || !contains(declined, record.config.id);
+}
+
+bool TargetTable::Impl::reachable(const Record &record, TimePoint now) const noexcept
+{
     if (record.own)
         return true;
-    if (record.local && !record.owner)
-        return false;
-    return !record.heard.unavailable(now) && !record.heard.silent(now);
+    return !record.heard.unavailable(now) && !(record.contact && record.contact->silent(now));
+}
+
+void TargetTable::Impl::collect(const Group &holder, const std::vector<LoadHint> &declined,
+                                TimePoint now)
+{
+    m_candidates.clear();
+    for (Record *record : holder.local) {
+        if (placeable(*record, declined) && reachable(*record, now))
+            m_candidates.push_back(record);
+    }
+    if (!m_candidates.empty() || !declined.empty())
+        return;
+    // When nobody seems to answer, this daemon's own hearing is the likelier fault.
+    for (Record *record : holder.local) {
+        if (placeable(*record, declined))
+            m_candidates.push_back(record);
+    }
+}
+
+bool TargetTable::Impl::waitsHere(const std::vector<LoadHint> &declined) const noexcept
+{
+    return !declined.empty() && findOwn(declined.back().target) != nullptr;
 }
 
 double TargetTable::Impl::requestLoad(const Group &holder, const Record &record,
@@ -103,24 +134,15 @@
 {
     m_others.clear();
     for (Record *record : holder.remote) {
-        if (placeable(*record, declined, now))
+        if (placeable(*record, declined) && reachable(*record, now))
             m_others.push_back(record);
     }
     return leastOfTwo(holder, m_others, now, random);
 }
 
-PlacementChoice TargetTable::Impl::chosen(const Record &record, Random &random) const
+PlacementChoice TargetTable::Impl::chosen(const Record &record)
 {
-    PlacementChoice choice;
-    choice.target = record.config.id;
-    choice.own = record.own;
-    if (record.local) {
-        choice.owner = record.owner ? record.owner->address : Endpoint{};
-        return choice;
-    }
-    const std::vector<Member> &members = *record.remoteOwners;
-    choice.owner = members[below(members.size(), random)].address;
-    return choice;
+    return {record.config.id, record.own, record.owner->address};
 }
 
 std::optional<PlacementChoice>
@@ -130,37 +152,37 @@
     Group *holder = group(service);
     if (!holder)
         return std::nullopt;
-    m_candidates.clear();
+    collect(*holder, declined, now);
     Scored own{nullptr, NoLoad};
     double least = NoLoad;
-    for (Record *record : holder->local) {
-        if (!placeable(*record, declined, now))
-            continue;
+    std::erase_if(m_candidates, [&](Record *record) {
         const double load = requestLoad(*holder, *record, now);
-        if (load >= impl::UnavailableLoad)
-            continue;
-        m_candidates.push_back(record);
         least = std::min(least, load);
         if (record->own && load < own.load)
             own = {record, load};
-    }
+        return load >= impl::UnavailableLoad;
+    });
+    if (own.load >= impl::UnavailableLoad)
+        own.record = nullptr;
     updateSpilling(*holder, least);
     Scored best = leastOfTwo(*holder, m_candidates, now, random);
-    if (own.load < best.load)
+    if (own.record && own.load < best.load)
         best = own;
-    if (holder->spilling) {
+    if (holder->spilling && declined.size() <= MostDeclinedToSpill) {
         const Scored remote = spill(*holder, declined, now, random);
         if (remote.record && remote.load + RemotePenalty < best.load)
             best = remote;
     }
     if (!best.record)
         return std::nullopt;
-    // The ask waits where it is when nothing better is known; a forward would only add a hop.
-    if (!declined.empty() && best.load >= declined.back().requests)
+    // The ask waits where it is when all else is known to be worse; a forward would only add a hop.
+    if (waitsHere(declined) && best.load >= declined.back().requests + WorthForward)
         return std::nullopt;
     if (!best.record->own)
-        best.record->heard.sentRequest(1.0 / std::max(best.record->config.slots, 1U), now);
-    return chosen(*best.record, random);
+        best.record->heard.sentRequest(1.0 / std::max(best.record->config.slots, 1U));
+    if (best.record->contact)
+        best.record->contact->asked(now);
+    return chosen(*best.record);
 }
 
 std::optional<PlacementChoice>
@@ -171,19 +193,14 @@
     Group *holder = group(service);
     if (!holder)
         return std::nullopt;
-    m_candidates.clear();
-    for (Record *record : holder->local) {
-        if (!placeable(*record, declined, now))
-            continue;
-        if (record->own && !takesFlow(*record, now))
-            continue;
-        m_candidates.push_back(record);
-    }
+    collect(*holder, declined, now);
+    std::erase_if(m_candidates,
+                  [&](Record *record) { return record->own && !takesFlow(*record, now); });
     if (m_candidates.empty()) {
         const Scored remote = spill(*holder, declined, now, random);
         if (!remote.record)
             return std::nullopt;
-        return chosen(*remote.record, random);
+        return chosen(*remote.record);
     }
     const std::size_t pairs = (m_candidates.size() + 1) / 2;
     const std::size_t pair = (attempt / SendsPerPair) % pairs;
@@ -201,8 +218,10 @@
             best = other;
     }
     if (!best->own)
-        best->heard.sentFlow(1.0 / std::max(best->config.weight, 1U), now);
-    return chosen(*best, random);
+        best->heard.sentFlow(1.0 / std::max(best->config.weight, 1U));
+    if (best->contact)
+        best->contact->asked(now);
+    return chosen(*best);
 }
 
 void TargetTable::Impl::hint(const LoadHint &hint, TimePoint now)
@@ -215,10 +234,8 @@
     Group *holder = group(record->service);
     if (!holder)
         return;
-    for (Record *other : holder->local) {
-        if (other->owner == record->owner)
-            other->heard.ownerSpoke();
-    }
+    if (record->contact)
+        record->contact->answered();
     if (record->heard.unavailable(now) != before)
         refreshDoubt(*holder, now);
     if (hint.requests < impl::UnavailableLoad) {
--- a/src/core/targets/impl/table.h
+++ b/src/core/targets/impl/table.h
@@ -26,8 +26,7 @@
 {
     TargetConfig config;
     ServiceId service;
-    const Member *owner = nullptr; ///< Of this domain's view; null for other domains' targets.
-    const std::vector<Member> *remoteOwners = nullptr; ///< Live daemons of another domain.
+    const Member *owner = nullptr; ///< As far as the view shows; null for none.
     bool own = false;
     bool local = false; ///< In this daemon's failure domain.
     bool cold = false;  ///< Came with a later configuration than the first.
@@ -36,13 +35,15 @@
     ConcurrencyLimit limit;
     ConnectionCount connections;
     HeardLoad heard;
+    OwnerContact *contact = nullptr; ///< With the owner, where that is another daemon of ours.
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t offers = 0; ///< Opens that the target has not answered yet.
     double foreign = 0;       ///< Requests that the target reports beyond ours, smoothed.
     LoadReport report;
     TimePoint reportAt = TimePoint::min();
-    TimePoint aliveAt = TimePoint::min(); ///< Last sign of life, on any daemon.
+    TimePoint aheadAgain = TimePoint::min(); ///< No attempt is sent ahead of a slot before.
+    TimePoint aliveAt = TimePoint::min();    ///< Last sign of life, on any daemon.
     TokenBucket reopens{ReopensPerSecond, ReopenBurst};
     TargetHealth toldHealth = TargetHealth::Good; ///< In the log.
 };
@@ -51,7 +52,7 @@
 struct ServiceGroup
 {
     std::vector<TargetRecord *> local;
-    std::vector<TargetRecord *> remote; ///< In other domains that have a live daemon.
+    std::vector<TargetRecord *> remote; ///< In other domains.
     double usualRequests = 0.8;
     double usualFlows = 0;
     double usualRemote = 0.8;
@@ -94,6 +95,7 @@
     [[nodiscard]] std::uint32_t attemptsAllowed(const Record &record, TimePoint now) const noexcept;
     [[nodiscard]] LoadHint loadOf(const Record &record, TimePoint now) const noexcept;
     void takeReport(Record &record, const LoadReport &report, TimePoint now);
+    [[nodiscard]] bool mayRunAhead(const Record &record, TimePoint now) const noexcept;
     void learn(Record &record, AttemptEnd end, Duration ran, std::uint32_t running, TimePoint now);
     void judge(Record &record, TimePoint now);
     [[nodiscard]] std::optional<TimePoint> due(const Record &record) const noexcept;
@@ -115,7 +117,8 @@
     ConfigPtr config;
     boost::unordered_flat_map<TargetId, std::unique_ptr<Record>> records;
     boost::unordered_flat_map<ServiceId, Group> groups;
-    std::map<std::string, std::vector<Member>> remoteMembers; ///< Live ones, by domain.
+    std::map<DaemonId, impl::OwnerContact> contacts;
+    std::map<std::string, View> remoteViews; ///< Other domains as their own daemons see them.
 
 private:
     struct Scored
@@ -124,12 +127,17 @@
         double load = 0;
     };
 
+    void readRemoteViews();
+    [[nodiscard]] const Member *ownerOf(const TargetConfig &target) const noexcept;
     [[nodiscard]] std::unique_ptr<Record> keepOrMake(std::unique_ptr<Record> old,
                                                      const TargetConfig &target, ServiceId service,
                                                      bool first) const;
     void addToGroup(Group &holder, Record &record);
-    [[nodiscard]] bool placeable(const Record &record, const std::vector<LoadHint> &declined,
-                                 TimePoint now) const noexcept;
+    [[nodiscard]] bool reachable(const Record &record, TimePoint now) const noexcept;
+    void collect(const Group &holder, const std::vector<LoadHint> &declined, TimePoint now);
+    [[nodiscard]] static bool placeable(const Record &record,
+                                        const std::vector<LoadHint> &declined) noexcept;
+    [[nodiscard]] bool waitsHere(const std::vector<LoadHint> &declined) const noexcept;
     [[nodiscard]] double requestLoad(const Group &holder, const Record &record,
                                      TimePoint now) const noexcept;
     [[nodiscard]] double flowLoad(const Group &holder, const Record &record,
@@ -138,7 +146,7 @@
                                     TimePoint now, Random &random) const;
     [[nodiscard]] Scored spill(Group &holder, const std::vector<LoadHint> &declined, TimePoint now,
                                Random &random);
-    [[nodiscard]] PlacementChoice chosen(const Record &record, Random &random) const;
+    [[nodiscard]] static PlacementChoice chosen(const Record &record);
     void updateSpilling(Group &holder, double least) const noexcept;
     void refreshDoubt(Group &holder, TimePoint now) const noexcept;
 
--- a/src/core/targets/target_table.h
+++ b/src/core/targets/target_table.h
@@ -19,8 +19,8 @@
 {
     TargetId target;
     bool own = false; ///< This daemon owns the target.
-    Endpoint owner;   ///< Peer address to hand over to; of any daemon of the target's domain where
-                      ///< that is another domain than ours.
+    Endpoint owner; ///< Peer address to hand over to; where the target is in another domain, of the
+                    ///< daemon there that owns it as far as the view shows.
 };
 
 /// \brief How an attempt at a target ended.
@@ -56,7 +56,10 @@
     chooseForFlow(ServiceId service, FlowId flow, std::uint32_t attempt,
                   const std::vector<LoadHint> &declined, TimePoint now, Random &random);
 
-    /// \brief Chooses a target for a request: the less loaded of two, on loads last heard.
+    /// \brief Chooses a target for a request: the less loaded of two, on loads last heard, or an
+    /// own target that is less loaded still.
+    /// \return Nothing where this daemon owns the target that declined last and no other is known
+    /// to be less loaded: the ask had better wait there than be forwarded.
     [[nodiscard]] std::optional<PlacementChoice>
     chooseForRequest(ServiceId service, const RequestId &request,
                      const std::vector<LoadHint> &declined, TimePoint now, Random &random);
@@ -71,7 +74,8 @@
     [[nodiscard]] std::vector<TargetId> owned() const;
     /// \return Whether the target may take new work at all: verified, not ejected, not leaving.
     [[nodiscard]] bool takesWork(TargetId target, TimePoint now) const noexcept;
-    /// \return Whether one more attempt may start now without queueing.
+    /// \return Whether one more attempt may start now; loadOf() says whether one more ask would
+    /// wait behind others.
     [[nodiscard]] bool slotFree(TargetId target, TimePoint now) const noexcept;
     /// \return Whether one more flow may be placed now, while it warms up or is ejected.
     [[nodiscard]] bool takesFlow(TargetId target, TimePoint now) const noexcept;
