Measure the placement of flows and the cost of a decision

bench-policy also places flows (about 2000 a target, mean life 60 s) beside random, the less of two by reports, and the fewest connections of all.

--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -2,6 +2,8 @@
 /// \brief Measures the placement of requests and flows against baselines, in virtual time.
 
 #include "bench/policy/baselines.h"
+#include "bench/policy/decision_cost.h"
+#include "bench/policy/flow_run.h"
 #include "bench/policy/product_way.h"
 
 #include <gflags/gflags.h>
@@ -112,6 +114,52 @@
     };
 }
 
+void printFlowRow(const char *way, const FlowResult &result)
+{
+    std::printf("  %-18s %6.3f %6.3f   %6.3f   %6.2f   %llu\n", way,
+                quantile(result.imbalance, 0.5), quantile(result.imbalance, 0.99),
+                quantile(result.least, 0.5), result.faultyShare,
+                static_cast<unsigned long long>(result.refused));
+}
+
+void compareFlows(const Scenario &scenario, const Layout &layout)
+{
+    if (scenario.name.find(FLAGS_only) == std::string::npos)
+        return;
+    std::printf("%s: %zu targets, about 2000 flows each, %zu daemons\n", scenario.name.c_str(),
+                layout.targets, layout.daemons);
+    const std::array<std::pair<const char *, FlowWay>, 4> ways{
+        {{"random", FlowWay::Random},
+         {"two, by reports", FlowWay::TwoByReports},
+         {"baobabtrail", FlowWay::Product},
+         {"fewest connections", FlowWay::FewestConnections}}};
+    for (const auto &[name, way] : ways)
+        printFlowRow(name, FlowRun{scenario, layout, FLAGS_seed, way}.play());
+}
+
+[[nodiscard]] std::vector<Scenario> flowScenarios()
+{
+    std::vector<Scenario> result;
+    const std::array<std::pair<const char *, Fault>, 9> faults{
+        {{"flows, steady", Fault::None},
+         {"flows, half weight", Fault::HalfWeight},
+         {"flows, new target", Fault::ColdTarget},
+         {"flows, drain", Fault::Drain},
+         {"flows, lying empty", Fault::LyingEmpty},
+         {"flows, lying full", Fault::LyingFull},
+         {"flows, late reports", Fault::LateReports},
+         {"flows, daemon joins", Fault::DaemonJoins},
+         {"flows, daemon dies", Fault::DaemonDies}}};
+    for (const auto &[name, fault] : faults) {
+        Scenario scenario;
+        scenario.name = name;
+        scenario.fault = fault;
+        scenario.length = 40s;
+        result.push_back(scenario);
+    }
+    return result;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -127,5 +175,11 @@
     }
     for (const Scenario &scenario : requestScenarios())
         compare(scenario, Layout{14, 2, 8, 3});
+    std::printf(
+        "  way                max/mean of flows per weight: p50, p99; min/mean p50; share of the "
+        "faulty target; refused\n");
+    for (const Scenario &scenario : flowScenarios())
+        compareFlows(scenario, Layout{14, 2, 8, 1});
+    printDecisionCost();
     return 0;
 }
--- a/src/core/targets/impl/connection_count.cpp
+++ b/src/core/targets/impl/connection_count.cpp
@@ -10,9 +10,9 @@
 
 constexpr double RecentSeconds = 60;
 constexpr double CorrectionSeconds = 2;
-constexpr double DoubtedSeconds = 30;
-constexpr double FewFlows = 10;
-constexpr double PlausibleShare = 0.25;
+constexpr double FewFlows = 50;
+constexpr double LeastOfRecent = 0.02;
+constexpr double MostOfUsual = 3;
 
 [[nodiscard]] double seconds(Duration duration) noexcept
 {
@@ -37,16 +37,17 @@
 void ConnectionCount::reported(std::uint32_t connections, double usual, TimePoint now) noexcept
 {
     decayRecent(now);
-    // A target that always reports none would draw every open that names it as a candidate. Most
-    // flows outlive a minute, so a target that denies most of the last minute's is not believed.
-    m_believed = m_recent < FewFlows || connections >= PlausibleShare * m_recent;
-    const double goal = m_believed ? connections : std::max(usual, m_recent);
-    if (!m_reportAt) {
+    // A target that always reports none would draw every open that names it as a candidate, one
+    // that always reports many would get none for ever. Out of these bounds a report says nothing,
+    // and the target is taken for a usual one: it gets its even share.
+    const bool tooFew = m_recent >= FewFlows && connections < LeastOfRecent * m_recent;
+    const bool tooMany = usual >= FewFlows && connections > MostOfUsual * usual;
+    m_believed = !tooFew && !tooMany;
+    const double goal = m_believed ? connections : usual;
+    if (!m_reportAt || !m_believed)
         m_count = goal;
-    } else {
-        const double pace = m_believed ? CorrectionSeconds : DoubtedSeconds;
-        m_count += std::min(1.0, seconds(now - *m_reportAt) / pace) * (goal - m_count);
-    }
+    else
+        m_count += std::min(1.0, seconds(now - *m_reportAt) / CorrectionSeconds) * (goal - m_count);
     m_reportAt = now;
 }
 
--- a/src/core/targets/impl/connection_count.h
+++ b/src/core/targets/impl/connection_count.h
@@ -10,8 +10,8 @@
 /// \brief Flows that a target holds: counted at the owner, corrected by the target's reports.
 ///
 /// The owner sees every flow that it places but not every end; the target sees both but may say so
-/// late or wrongly. So the count follows the report slowly, and a report that denies flows which
-/// the owner just placed is not believed.
+/// late or wrongly. So the count follows the report slowly, and a report that denies nearly all
+/// flows which the owner just placed, or claims several times the usual number, is not believed.
 class ConnectionCount
 {
 public:
--- a/src/core/targets/impl/placement.cpp
+++ b/src/core/targets/impl/placement.cpp
@@ -243,8 +243,11 @@
         usual += UsualGain * (hint.requests - usual);
     }
     if (hint.flows < impl::UnavailableLoad && record->local) {
-        const double gain = holder->usualFlows == 0 ? 1.0 : UsualGain;
-        holder->usualFlows += gain * (hint.flows - holder->usualFlows);
+        // One false report of very many flows must not move what counts as usual.
+        double &usual = holder->usualFlows;
+        const double gain = usual == 0 ? 1.0 : UsualGain;
+        const double heard = usual == 0 ? hint.flows : std::min<double>(hint.flows, 2 * usual + 1);
+        usual += gain * (heard - usual);
     }
 }
 
