--- /dev/null
+++ b/tests/platform/client_test.cpp
@@ -0,0 +1,206 @@
+#include "platform/client.h"
+#include "support/process.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <optional>
+
+#include <criterion/criterion.h>
+
+using namespace baobabtrail;
+using namespace baobabtrail::test;
+
+namespace {
+
+constexpr std::uint32_t Loopback = 0x7f000001;
+
+/// \brief The platform stand-in and a client of it.
+struct Bench
+{
+    Process platform{"standin-platform", {}};
+    Endpoint address{Loopback, platform.ports().at("http")};
+    boost::asio::io_context context;
+    PlatformClient client{context, {address, 500ms}};
+
+    PlatformResult call(const PlatformRequest &request)
+    {
+        std::optional<PlatformResult> result;
+        client.call(request, [&result](PlatformResult r) { result = std::move(r); });
+        cr_assert_not(result.has_value(), "called back from within call()");
+        context.restart();
+        while (!result && context.run_one() > 0) {
+        }
+        cr_assert(result.has_value());
+        return std::move(*result);
+    }
+
+    template <typename Result>
+    Result expect(const PlatformRequest &request)
+    {
+        PlatformResult result = call(request);
+        if (const auto *failure = std::get_if<PlatformFailure>(&result))
+            cr_log_info("%s", failure->what.c_str());
+        cr_assert(std::holds_alternative<Result>(result));
+        return std::get<Result>(std::move(result));
+    }
+
+    /// \brief Sends a call to the stand-in's switches.
+    std::string control(boost::beast::http::verb verb, const std::string &path,
+                        const std::string &body)
+    {
+        namespace http = boost::beast::http;
+        boost::beast::tcp_stream stream{context};
+        stream.connect({boost::asio::ip::address_v4{address.address}, address.port});
+        http::request<http::string_body> request{verb, "/control/" + path, 11, body};
+        request.prepare_payload();
+        http::write(stream, request);
+        boost::beast::flat_buffer buffer;
+        http::response<http::string_body> response;
+        http::read(stream, buffer, response);
+        cr_assert_lt(response.result_int(), 300);
+        return response.body();
+    }
+
+    void set(const std::string &switches)
+    {
+        control(boost::beast::http::verb::put, "switches", switches);
+    }
+};
+
+} // namespace
+
+Test(platformClient, writesAreConditional)
+{
+    Bench bench;
+    const auto created = bench.expect<Written>(CreateObject{"config/log/1 a", "one"});
+    bench.expect<WriteConflict>(CreateObject{"config/log/1 a", "two"});
+    const auto updated
+        = bench.expect<Written>(UpdateObject{"config/log/1 a", "three", created.version});
+    cr_assert_gt(updated.version.value(), created.version.value());
+    bench.expect<WriteConflict>(UpdateObject{"config/log/1 a", "four", created.version});
+
+    const auto object = bench.expect<StoredObject>(ReadObject{"config/log/1 a"});
+    cr_assert(object.value == "three" && object.version == updated.version);
+    bench.expect<Written>(DeleteObject{"config/log/1 a"});
+    bench.expect<ObjectMissing>(ReadObject{"config/log/1 a"});
+}
+
+Test(platformClient, listsAndWatchesByPrefix)
+{
+    Bench bench;
+    const std::string binary{"\0\xff\x80 &=%", 7};
+    for (const char *key : {"a/1", "b/1", "b/2", "b/3", "c/1"})
+        bench.expect<Written>(CreateObject{key, binary});
+    const auto page = bench.expect<ObjectList>(ListObjects{"b/", "b/1", 1});
+    cr_assert_eq(page.objects.size(), 1);
+    cr_assert(page.objects.front().key == "b/2" && page.objects.front().value == binary);
+
+    const auto all = bench.expect<ObjectList>(WatchObjects{"b/", ObjectVersion{}, 10s});
+    cr_assert_eq(all.objects.size(), 3);
+    const auto none = bench.expect<ObjectList>(WatchObjects{"b/", all.latest, 20ms});
+    cr_assert(none.objects.empty());
+
+    std::optional<PlatformResult> watched;
+    bench.client.call(WatchObjects{"b/", all.latest, 10s},
+                      [&watched](PlatformResult r) { watched = std::move(r); });
+    bench.expect<Written>(CreateObject{"b/4", "new"});
+    while (!watched)
+        bench.context.run_one();
+    cr_assert_eq(std::get<ObjectList>(*watched).objects.front().value, "new");
+}
+
+Test(platformClient, listsVms)
+{
+    Bench bench;
+    bench.control(boost::beast::http::verb::put, "vms/7",
+                  R"({"domain": "alx-raml", "address": "127.0.0.1:9001",
+                      "records": "127.0.0.1:9002", "leaving": true})");
+    const auto list = bench.expect<VmList>(ListVms{});
+    cr_assert_eq(list.vms.size(), 1);
+    const VmEntry &vm = list.vms.front();
+    cr_assert(vm.daemon == DaemonId{7} && vm.domain == "alx-raml" && vm.leaving);
+    cr_assert_eq(toString(vm.address), "127.0.0.1:9001");
+    cr_assert_eq(toString(vm.records), "127.0.0.1:9002");
+}
+
+// An operator's change reaches the platform, and the reply is lost on the way back.
+// The write took effect; the client must not claim either way, nor send it a second time, which
+// would come back as a conflict with itself.
+Test(platformClient, lostReplyOfWriteIsFailureAndNotSentAgain)
+{
+    Bench bench;
+    bench.expect<ObjectMissing>(ReadObject{"x"}); // leaves a connection to reuse
+    bench.set(R"({"loseReplies": 1})");
+    bench.expect<PlatformFailure>(CreateObject{"x", "mine"});
+    cr_assert_eq(bench.expect<StoredObject>(ReadObject{"x"}).value, "mine");
+    const std::string counts = bench.control(boost::beast::http::verb::get, "counts", "");
+    cr_assert_neq(counts.find("\"create\":1"), std::string::npos, "%s", counts.c_str());
+}
+
+// The platform is down, over its rate, slow, or its watch has died without a word.
+// Each call still ends in a result within its time, and the next one works once the platform does.
+Test(platformClient, everyFaultEndsInResult)
+{
+    Bench bench;
+    bench.set(R"({"down": true})");
+    bench.expect<PlatformFailure>(ReadObject{"x"});
+    bench.set(R"({"down": false, "readsPerSecond": 1})");
+    bench.expect<ObjectMissing>(ReadObject{"x"});
+    cr_assert(bench.expect<PlatformFailure>(ReadObject{"x"}).retryAfter == 1s);
+    bench.set(R"({"readsPerSecond": 0, "slow": 1000000})");
+    bench.expect<PlatformFailure>(ReadObject{"x"});
+    bench.set(R"({"slow": 0, "silentWatch": true})");
+    bench.expect<PlatformFailure>(WatchObjects{"b/", ObjectVersion{}, 10ms});
+    bench.set(R"({"silentWatch": false})");
+    bench.expect<ObjectMissing>(ReadObject{"x"});
+}
+
+// The platform closes the connections that it considers idle, in the moment in which one of them
+// is used again. A read must not fail for it.
+Test(platformClient, readSurvivesDroppedIdleConnection)
+{
+    namespace asio = boost::asio;
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor{context, {asio::ip::address_v4::loopback(), 0}};
+    PlatformClient client{context, {{Loopback, acceptor.local_endpoint().port()}, 500ms}};
+    int served = 0;
+    std::function<void()> serve = [&] {
+        acceptor.async_accept([&](boost::system::error_code, asio::ip::tcp::socket accepted) {
+            auto socket = std::make_shared<asio::ip::tcp::socket>(std::move(accepted));
+            auto bytes = std::make_shared<std::string>();
+            asio::async_read_until(
+                *socket, asio::dynamic_buffer(*bytes), "\r\n\r\n",
+                [&, socket, bytes](boost::system::error_code, std::size_t) {
+                    ++served;
+                    asio::write(*socket,
+                                asio::buffer(std::string{
+                                    "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"}));
+                    serve(); // the socket closes here, though it promised to stay open
+                });
+        });
+    };
+    serve();
+    for (int calls = 0; calls < 3; ++calls) {
+        std::optional<PlatformResult> result;
+        client.call(ReadObject{"x"}, [&](PlatformResult r) { result = std::move(r); });
+        while (!result)
+            context.run_one();
+        cr_assert(std::holds_alternative<ObjectMissing>(*result));
+    }
+    cr_assert_eq(served, 3);
+}
+
+// The daemon's child that owns the client is restarted while calls are under way.
+Test(platformClient, destructionAbandonsCalls)
+{
+    boost::asio::io_context context;
+    auto client = std::make_unique<PlatformClient>(context, PlatformClientSettings{{Loopback, 1}});
+    client->call(ReadObject{"x"}, [](PlatformResult) { cr_assert_fail("called back"); });
+    client.reset();
+    context.run();
+}
--- /dev/null
+++ b/tests/support/process.h
@@ -0,0 +1,160 @@
+#pragma once
+
+/// \file
+/// \brief Processes that a test starts, and ends by their id.
+
+#include <csignal>
+#include <cstdint>
+#include <cstdio>
+#include <map>
+#include <memory>
+#include <set>
+#include <sstream>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+extern char **environ;
+
+namespace baobabtrail::test {
+
+/// \brief Processes that are to be killed when the test ends by a failed assertion, which leaves
+/// its scopes without destructors: they would run on and hold the test's output open.
+class Leftovers
+{
+public:
+    static Leftovers &instance()
+    {
+        static Leftovers leftovers;
+        return leftovers;
+    }
+
+    ~Leftovers()
+    {
+        for (const pid_t id : m_ids)
+            kill(id, SIGKILL);
+    }
+
+    void add(pid_t id) { m_ids.insert(id); }
+    void remove(pid_t id) { m_ids.erase(id); }
+
+private:
+    std::set<pid_t> m_ids;
+};
+
+/// \brief A program of the build directory; killed at the end of the scope.
+///
+/// \code
+/// Process platform{"standin-platform", {"--vm_lag_ms=0"}};
+/// const auto port = platform.ports().at("http");
+/// \endcode
+class Process
+{
+public:
+    enum class Output { Ready, Inherited };
+
+    /// \param output Ready: waits for the line "ready NAME=PORT ..." on standard output.
+    Process(const std::string &program, std::vector<std::string> arguments,
+            Output output = Output::Ready)
+    {
+        int ends[2];
+        if (pipe2(ends, O_CLOEXEC) != 0)
+            throw std::runtime_error("no pipe for " + program);
+        m_output.reset(fdopen(ends[0], "r"));
+        spawn(program, std::move(arguments), output == Output::Ready ? ends[1] : -1);
+        close(ends[1]);
+        if (output == Output::Ready)
+            readReady(program);
+    }
+
+    ~Process()
+    {
+        send(SIGKILL);
+        waitForEnd();
+    }
+
+    Process(const Process &) = delete;
+    Process &operator=(const Process &) = delete;
+
+    [[nodiscard]] const std::map<std::string, std::uint16_t> &ports() const { return m_ports; }
+
+    void send(int signal) const
+    {
+        if (m_id > 0)
+            kill(m_id, signal);
+    }
+
+    /// \return Exit status, or the negative number of the signal that ended it.
+    int waitForEnd()
+    {
+        if (m_id <= 0)
+            return m_status;
+        int status = 0;
+        waitpid(m_id, &status, 0);
+        Leftovers::instance().remove(m_id);
+        m_id = 0;
+        m_status = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+        return m_status;
+    }
+
+    /// \return One more line of standard output; empty at its end.
+    [[nodiscard]] std::string readLine()
+    {
+        std::string line;
+        for (int c = std::fgetc(m_output.get()); c != EOF && c != '\n';
+             c = std::fgetc(m_output.get()))
+            line.push_back(static_cast<char>(c));
+        return line;
+    }
+
+private:
+    struct CloseFile
+    {
+        void operator()(FILE *file) const noexcept { std::fclose(file); }
+    };
+
+    void spawn(const std::string &program, std::vector<std::string> arguments, int output)
+    {
+        std::string path = std::string{BAOBABTRAIL_BINARY_DIR} + '/' + program;
+        std::vector<char *> argv{path.data()};
+        for (std::string &argument : arguments)
+            argv.push_back(argument.data());
+        argv.push_back(nullptr);
+
+        posix_spawn_file_actions_t actions;
+        posix_spawn_file_actions_init(&actions);
+        if (output >= 0)
+            posix_spawn_file_actions_adddup2(&actions, output, STDOUT_FILENO);
+        const int error = posix_spawn(&m_id, path.c_str(), &actions, nullptr, argv.data(), environ);
+        posix_spawn_file_actions_destroy(&actions);
+        if (error != 0)
+            throw std::runtime_error("can't start " + path);
+        Leftovers::instance().add(m_id);
+    }
+
+    void readReady(const std::string &program)
+    {
+        std::istringstream line{readLine()};
+        std::string word;
+        line >> word;
+        if (word != "ready")
+            throw std::runtime_error(program + " did not get ready");
+        while (line >> word) {
+            const auto equals = word.find('=');
+            m_ports[word.substr(0, equals)]
+                = static_cast<std::uint16_t>(std::stoul(word.substr(equals + 1)));
+        }
+    }
+
+    pid_t m_id = 0;
+    int m_status = 0;
+    std::unique_ptr<FILE, CloseFile> m_output;
+    std::map<std::string, std::uint16_t> m_ports;
+};
+
+} // namespace baobabtrail::test
