--- /dev/null
+++ b/standins/target/flow_table.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "core/messages/flow.h"
+#include "support/udp_port.h"
+#include "target/target_state.h"
+
+#include <map>
+
+namespace baobabtrail::standins {
+
+/// \brief The flows of a target, over UDP.
+class FlowTable
+{
+public:
+    FlowTable(boost::asio::io_context &context, std::uint16_t port, TargetState &state);
+
+    [[nodiscard]] std::uint16_t port() const { return m_port.address().port; }
+    /// \brief Loses track of every flow, without a word to anyone.
+    void forgetAll();
+
+private:
+    struct Flow
+    {
+        Endpoint caller;
+        FlowToken token;
+        TimePoint heard;
+        TimePoint nextPush;
+    };
+
+    void receive(const Endpoint &from, std::string_view bytes);
+    /// \return Whether the datagram is for this service, target and generation.
+    [[nodiscard]] bool isMine(const FlowToken &token);
+    void open(const Endpoint &from, const TargetDatagram &datagram, const OpenFlow &ask);
+    void inFlow(const TargetDatagram &datagram);
+    void tick();
+    void push(FlowId id, Flow &flow);
+    /// \param via Daemon that waits, or null for the fabric.
+    void send(const Endpoint &via, const TargetDatagram &datagram);
+
+    TargetState &m_state;
+    std::map<FlowId, Flow> m_flows;
+    UdpPort m_port;
+    Ticker m_ticker;
+    std::uint64_t m_pushed = 0;
+};
+
+} // namespace baobabtrail::standins
--- /dev/null
+++ b/standins/target/target_state.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "core/load.h"
+#include "core/messages/request.h"
+#include "core/random.h"
+#include "support/process.h"
+#include "target/target_settings.h"
+
+#include <boost/json.hpp>
+
+#include <deque>
+#include <map>
+#include <utility>
+
+namespace baobabtrail::standins {
+
+/// \brief What the flows and the requests of a target share: load, switches and counts.
+struct TargetState
+{
+    explicit TargetState(TargetSettings s)
+        : settings(std::move(s))
+        , random(settings.seed)
+        , started(now())
+    {
+    }
+
+    TargetSettings settings;
+    Random random;
+    TimePoint started;
+    LoadReport load;       ///< As it is.
+    bool draining = false; ///< Refuses new flows and sheds new requests.
+    bool shedding = false; ///< Sheds new requests.
+    Generation generation; ///< Newest that a daemon named.
+    std::map<std::string, std::uint64_t> counts;
+    std::map<RequestId, std::uint32_t> runs; ///< How often each request was started.
+    std::deque<std::pair<TimePoint, LoadReport>> history;
+
+    void count(const std::string &name) { ++counts[name]; }
+
+    /// \return The load as the target reports it: late, and perhaps not true.
+    [[nodiscard]] LoadReport reported()
+    {
+        const TimePoint time = now();
+        history.emplace_back(time, load);
+        while (history.size() > 1 && history[1].first <= time - settings.reportLag)
+            history.pop_front();
+        const auto scaled = [this](std::uint32_t value) {
+            return static_cast<std::uint32_t>(value * settings.reportFactor);
+        };
+        const LoadReport &seen = history.front().second;
+        return {scaled(seen.running), scaled(seen.queued), scaled(seen.connections)};
+    }
+
+    [[nodiscard]] Duration drawServiceTime()
+    {
+        Duration time = settings.exponentialService ? exponential(random, settings.serviceTime)
+                                                    : settings.serviceTime;
+        if (now() - started < settings.coldFor)
+            time *= ColdFactor;
+        return time;
+    }
+};
+
+} // namespace baobabtrail::standins
