--- /dev/null
+++ b/standins/caller/caller_settings.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "core/endpoint.h"
+#include "core/ids.h"
+#include "core/messages/request.h"
+#include "core/time.h"
+
+#include <cstdint>
+
+namespace baobabtrail::standins {
+
+/// \brief What a caller does.
+struct CallerSettings
+{
+    Endpoint fabric;
+    ServiceId service;
+    std::uint32_t feeds = 0;
+    double requestsPerSecond = 0;
+    std::uint64_t maxRequests = 0; ///< Bound on all requests together.
+    RequestClass requestClass = RequestClass::Normal;
+    bool idempotent = false;
+    Duration deadline = 3s;
+    std::size_t payloadBytes = 200;
+    Duration keepAlivePeriod = 1s;
+    Duration dataPeriod = 1s;       ///< Between two messages on a feed.
+    std::uint32_t silentLimit = 10; ///< Unanswered keep-alives after which a feed is reopened.
+    double loss = 0;                ///< Probability for each datagram that arrives.
+    std::uint64_t seed = 1;
+};
+
+} // namespace baobabtrail::standins
