Say in a NotRun whose reservation it ends

A caller whose Reserve was repeated may hold owner A's reservation, with its request running there, when owner B refuses the copy. Both answers were the same message, so the caller would have taken "not run" for a request that runs. The owner now names itself in a NotRun that ends its reservation; a refusal of the Reserve itself names nobody.

Ruled out: the whole reservation token in NotRun, 60 bytes for the same effect.

--- /dev/null
+++ b/src/core/requests/dispatcher.cpp
@@ -0,0 +1,344 @@
+#include "core/requests/dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace baobabtrail {
+
+namespace {
+
+/// How long requests wait on for a target that stopped taking work, for it may come back.
+constexpr Duration ShutGrace = 2s;
+/// Most attempts at one request, whatever the budget allows.
+constexpr std::uint32_t MaxAttempts = 3;
+
+} // namespace
+
+Dispatcher::Dispatcher(NodeContext &context, RequestTable &table, Outcomes &outcomes,
+                       TargetLinks &links)
+    : m_context(context)
+    , m_table(table)
+    , m_outcomes(outcomes)
+    , m_links(links)
+    , m_nextAttempt(context.random())
+{
+}
+
+void Dispatcher::configure(Turn &turn)
+{
+    for (const auto &[serviceId, service] : m_context.config->services) {
+        for (const auto &[id, target] : service.targets) {
+            if (!m_context.targets.owns(id) && !m_lines.contains(id))
+                continue;
+            Line &line = m_lines[id];
+            line.slots = std::max<std::uint32_t>(1, target.slots);
+            line.waiting.configure(std::size_t{line.slots} * service.limits.queuePerSlot,
+                                   service.tenant, service.limits.tenantShare);
+        }
+    }
+    std::erase_if(m_lines, [&](const auto &item) {
+        return !m_context.targets.owns(item.first) && !inUse(item.first);
+    });
+    advance(turn);
+}
+
+bool Dispatcher::startsAtOnce(TargetId target, TimePoint now) const
+{
+    // The load counts reservations too: a slot that one of them will take in a moment isn't free.
+    return m_context.targets.slotFree(target, now)
+           && m_context.targets.loadOf(target, now).requests < 1.0F;
+}
+
+std::optional<QueueRefusal> Dispatcher::admit(TargetId target, const QueueEntry &entry, Turn &turn)
+{
+    const auto found = m_lines.find(target);
+    if (found == m_lines.end() || !m_context.targets.takesWork(target, turn.now))
+        return QueueRefusal{RefusalCause::NoTarget, m_context.spread(DefaultComeBack)};
+    Line &line = found->second;
+    std::optional<QueueEntry> displaced;
+    const std::optional<QueueRefusal> refusal
+        = line.waiting.admit(entry, turn.now, m_context.random, displaced);
+    RequestRecord *out = displaced ? m_table.find(displaced->request) : nullptr;
+    if (out) {
+        m_outcomes.notRun(*out, RefusalCause::Overload,
+                          line.waiting.comeBackAfter(m_context.random), turn);
+    }
+    publishWaiting(target, line);
+    return refusal;
+}
+
+void Dispatcher::requestCame(RequestRecord &record, std::string payload, Turn &turn)
+{
+    m_table.enter(record, QueuedState{std::move(payload)}, record.token.deadline);
+    const TargetId target = record.target;
+    m_lines[target].waiting.ready(record.id);
+    pump(target, turn);
+}
+
+void Dispatcher::leave(const RequestRecord &record)
+{
+    const auto found = m_lines.find(record.target);
+    if (found == m_lines.end())
+        return;
+    found->second.waiting.remove(record.id);
+    publishWaiting(record.target, found->second);
+}
+
+void Dispatcher::pump(TargetId target, Turn &turn)
+{
+    const auto found = m_lines.find(target);
+    if (found == m_lines.end())
+        return;
+    Line &line = found->second;
+    while (line.waiting.size() > 0 && mayStart(target, line, turn.now)) {
+        std::vector<QueueEntry> expired;
+        const std::optional<RequestId> next = line.waiting.next(turn.now, expired);
+        for (const QueueEntry &late : expired) {
+            RequestRecord *record = m_table.find(late.request);
+            if (record && record->waits())
+                m_outcomes.notRun(*record, RefusalCause::DeadlinePassed, Duration{0}, turn);
+        }
+        if (!next)
+            break;
+        RequestRecord *record = m_table.find(*next);
+        if (record && std::holds_alternative<QueuedState>(record->state))
+            dispatch(*record, line, turn);
+    }
+    publishWaiting(target, line);
+}
+
+bool Dispatcher::mayStart(TargetId target, const Line &line, TimePoint now) const noexcept
+{
+    if (!m_links.usable(target))
+        return false;
+    // What was reserved before a target began to drain, or passed to another owner, still runs on
+    // it; the table counts only targets that take work.
+    if (leaving(target))
+        return line.running < line.slots;
+    return m_context.targets.slotFree(target, now);
+}
+
+void Dispatcher::dispatch(RequestRecord &record, Line &line, Turn &turn)
+{
+    const Duration timeLeft = record.token.deadline - turn.now;
+    // The owner may have been paused since it popped the request's turn: its caller has given up
+    // and may have asked elsewhere.
+    if (timeLeft <= Duration{0})
+        return m_outcomes.notRun(record, RefusalCause::DeadlinePassed, Duration{0}, turn);
+    const AttemptId attempt{m_nextAttempt++};
+    const Generation generation = *m_links.usable(record.target);
+    std::string payload = std::move(std::get<QueuedState>(record.state).payload);
+    turn.onLink(record.target, generation,
+                Dispatch{attempt, record.id, record.token.service, record.requestClass, timeLeft,
+                         payload});
+    if (record.attempts++ == 0) {
+        record.dispatchedAt = turn.now;
+        budget(record).firstAttempt();
+    }
+    m_table.bindAttempt(attempt, record.id);
+    m_table.enter(record, RunningState{attempt, generation, turn.now, std::move(payload), false},
+                  record.token.deadline);
+    ++line.running;
+    m_context.targets.attemptStarted(record.target, turn.now);
+}
+
+void Dispatcher::endAttempt(RequestRecord &record, AttemptEnd end, const LoadReport *load,
+                            Turn &turn)
+{
+    const RunningState &running = std::get<RunningState>(record.state);
+    const Duration ran = turn.now - running.since;
+    m_table.dropAttempt(running.attempt);
+    m_context.targets.attemptEnded(record.target, end, ran, load, turn.now);
+    Line &line = m_lines[record.target];
+    line.running -= line.running > 0 ? 1 : 0;
+    if (end == AttemptEnd::Done)
+        line.waiting.slotFreed(ran, line.slots, turn.now);
+}
+
+void Dispatcher::attemptDone(TargetId target, AttemptDone done, Turn &turn)
+{
+    RequestRecord *record = m_table.findAttempt(done.attempt);
+    // An answer to an attempt that was given up, or from a target that never got it, belongs to no
+    // caller: its request has its final outcome already.
+    if (!record || record->target != target) {
+        m_context.targets.heardFrom(target, turn.now);
+        return;
+    }
+    endAttempt(*record, AttemptEnd::Done, &done.load, turn);
+    m_outcomes.answered(*record, std::move(done.payload), turn);
+    pump(target, turn);
+}
+
+void Dispatcher::attemptNotRun(TargetId target, const AttemptNotRun &report, Turn &turn)
+{
+    RequestRecord *record = m_table.findAttempt(report.attempt);
+    if (!record || record->target != target) {
+        m_context.targets.heardFrom(target, turn.now);
+        return;
+    }
+    const bool cancelled = std::get<RunningState>(record->state).cancelled;
+    endAttempt(*record, cancelled ? AttemptEnd::Cancelled : AttemptEnd::Shed, &report.load, turn);
+    if (cancelled)
+        m_outcomes.notRun(*record, RefusalCause::Cancelled, Duration{0}, turn);
+    else if (!retry(*record, turn))
+        m_outcomes.notRun(*record, report.cause, m_context.spread(DefaultComeBack), turn);
+    pump(target, turn);
+}
+
+void Dispatcher::linkBroken(TargetId target, Turn &turn)
+{
+    for (const RequestId &id : m_table.ofTarget(target)) {
+        RequestRecord &record = *m_table.find(id);
+        if (!std::holds_alternative<RunningState>(record.state))
+            continue;
+        const bool cancelled = std::get<RunningState>(record.state).cancelled;
+        endAttempt(record, AttemptEnd::LinkBroken, nullptr, turn);
+        // What was sent on the connection may have run. Sending it again would run it twice.
+        record.mayHaveRun = true;
+        if (!record.idempotent || cancelled || !retry(record, turn))
+            m_outcomes.unknown(record, UnknownCause::LinkBroken, turn);
+    }
+}
+
+void Dispatcher::targetCut(TargetId target, Turn &turn)
+{
+    linkBroken(target, turn);
+    vacate(target, turn);
+}
+
+bool Dispatcher::retry(RequestRecord &record, Turn &turn)
+{
+    if (record.attempts >= MaxAttempts || record.token.deadline <= turn.now)
+        return false;
+    std::optional<TargetId> target = anotherTarget(record, turn);
+    if (!target && mayStart(record.target, m_lines[record.target], turn.now)
+        && m_context.targets.takesWork(record.target, turn.now))
+        target = record.target;
+    if (!target || !budget(record).spend())
+        return false;
+    std::string payload = std::move(std::get<RunningState>(record.state).payload);
+    place(record, *target, QueuedState{std::move(payload)}, turn);
+    return true;
+}
+
+std::optional<TargetId> Dispatcher::anotherTarget(const RequestRecord &record, Turn &turn)
+{
+    const std::vector<LoadHint> declined{{record.target, WorstLoad, WorstLoad}};
+    const std::optional<PlacementChoice> choice = m_context.targets.chooseForRequest(
+        record.token.service, record.id, declined, turn.now, m_context.random);
+    if (!choice || !choice->own || choice->target == record.target
+        || !m_links.usable(choice->target))
+        return std::nullopt;
+    return choice->target;
+}
+
+void Dispatcher::place(RequestRecord &record, TargetId target, RequestState state, Turn &turn)
+{
+    const bool ready = std::holds_alternative<QueuedState>(state);
+    record.target = target;
+    m_table.enter(record, std::move(state), ready ? record.token.deadline : record.dueAt);
+    m_lines[target].waiting.adopt(entryOf(record), ready);
+    pump(target, turn);
+}
+
+void Dispatcher::cancelAttempt(RequestRecord &record, Turn &turn)
+{
+    RunningState &running = std::get<RunningState>(record.state);
+    running.cancelled = true;
+    turn.onLink(record.target, running.generation, CancelAttempt{running.attempt});
+}
+
+void Dispatcher::abandon(RequestRecord &record, Turn &turn)
+{
+    const TargetId target = record.target;
+    cancelAttempt(record, turn);
+    endAttempt(record, AttemptEnd::TimedOut, nullptr, turn);
+    m_outcomes.unknown(record, UnknownCause::DeadlinePassed, turn);
+    pump(target, turn);
+}
+
+void Dispatcher::advance(Turn &turn)
+{
+    std::vector<TargetId> shut;
+    for (auto &[target, line] : m_lines) {
+        const bool open = m_links.usable(target) && m_context.targets.takesWork(target, turn.now);
+        if (open || line.waiting.size() == 0) {
+            line.shutSince.reset();
+            continue;
+        }
+        if (!line.shutSince)
+            line.shutSince = turn.now;
+        if (turn.now >= *line.shutSince + ShutGrace)
+            shut.push_back(target);
+    }
+    for (const TargetId target : shut)
+        vacate(target, turn);
+    for (const auto &[target, line] : m_lines) {
+        if (line.waiting.size() > 0)
+            pump(target, turn);
+    }
+}
+
+// A request that waits its turn at a draining target would start there long after the drain; one
+// that waits at a dead target would be refused only at its deadline.
+void Dispatcher::vacate(TargetId target, Turn &turn)
+{
+    for (const RequestId &id : m_table.ofTarget(target)) {
+        RequestRecord &record = *m_table.find(id);
+        if (!record.waits())
+            continue;
+        leave(record);
+        const std::optional<TargetId> other = anotherTarget(record, turn);
+        if (other)
+            place(record, *other, std::move(record.state), turn);
+        else
+            m_outcomes.notRun(record, RefusalCause::NoTarget, m_context.spread(DefaultComeBack),
+                              turn);
+    }
+}
+
+std::optional<TimePoint> Dispatcher::nextTimer() const noexcept
+{
+    std::optional<TimePoint> next;
+    for (const auto &[target, line] : m_lines) {
+        if (line.shutSince)
+            next = earlier(next, *line.shutSince + ShutGrace);
+    }
+    return next;
+}
+
+bool Dispatcher::inUse(TargetId target) const noexcept
+{
+    const auto found = m_lines.find(target);
+    return found != m_lines.end()
+           && (found->second.running > 0 || found->second.waiting.size() > 0);
+}
+
+bool Dispatcher::leaving(TargetId target) const noexcept
+{
+    const TargetConfig *config = m_context.target(target);
+    return !m_context.targets.owns(target) || !config || config->state != TargetState::Active;
+}
+
+void Dispatcher::publishWaiting(TargetId target, const Line &line) noexcept
+{
+    m_context.targets.setWaiting(target, static_cast<std::uint32_t>(line.waiting.size()));
+}
+
+RetryBudget &Dispatcher::budget(const RequestRecord &record)
+{
+    const auto found = m_budgets.find(record.tenant);
+    if (found != m_budgets.end())
+        return found->second;
+    const ServiceConfig *service = m_context.config->service(record.token.service);
+    const ServiceLimits limits = service ? service->limits : ServiceLimits{};
+    return m_budgets.emplace(record.tenant, RetryBudget{limits.retryPercent}).first->second;
+}
+
+QueueEntry Dispatcher::entryOf(const RequestRecord &record) const
+{
+    return {record.id, record.requestClass, record.tenant, record.token.deadline,
+            record.reservedAt};
+}
+
+} // namespace baobabtrail
--- /dev/null
+++ b/src/core/requests/outcomes.cpp
@@ -0,0 +1,86 @@
+#include "core/requests/outcomes.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace baobabtrail {
+
+namespace {
+
+/// How long an outcome is kept behind the deadline, for a caller whose last message crossed it.
+constexpr Duration OutcomeGrace = 1s;
+
+} // namespace
+
+void Outcomes::answered(RequestRecord &record, std::string payload, Turn &turn)
+{
+    sendAnswer(record, payload, turn);
+    observe(record, RequestOutcome::Answered, {}, turn);
+    m_table.enter(record, AnsweredState{std::move(payload)}, keptUntil(record, turn.now));
+}
+
+void Outcomes::notRun(RequestRecord &record, RefusalCause cause, Duration comeBackAfter, Turn &turn)
+{
+    // An earlier attempt was cut off by a broken connection: the caller would take "not run" as
+    // leave to ask again, and a swap would be made twice.
+    if (record.mayHaveRun)
+        return unknown(record, UnknownCause::LinkBroken, turn);
+    const NotRun reply{record.id, cause, comeBackAfter, m_context.identity.daemon};
+    // A caller that holds another owner's reservation as well may have its request running there.
+    // Until it sends the request under this one, it is told nothing of it.
+    if (!std::holds_alternative<ReservedState>(record.state))
+        turn.toCaller(record.caller, RequestMessage{reply});
+    observe(record, RequestOutcome::NotRun, cause, turn);
+    m_table.enter(record, NotRunState{reply}, keptUntil(record, turn.now));
+}
+
+void Outcomes::unknown(RequestRecord &record, UnknownCause cause, Turn &turn)
+{
+    const OutcomeUnknown reply{record.id, cause};
+    turn.toCaller(record.caller, RequestMessage{reply});
+    observe(record, RequestOutcome::Unknown, {}, turn);
+    m_table.enter(record, UnknownState{reply}, keptUntil(record, turn.now));
+}
+
+void Outcomes::repeat(RequestRecord &record, Turn &turn)
+{
+    if (const NotRunState *notRun = std::get_if<NotRunState>(&record.state))
+        return turn.toCaller(record.caller, RequestMessage{notRun->reply});
+    if (const UnknownState *unknown = std::get_if<UnknownState>(&record.state))
+        return turn.toCaller(record.caller, RequestMessage{unknown->reply});
+    AnsweredState *answered = std::get_if<AnsweredState>(&record.state);
+    // A long answer to a short datagram would make the daemon an amplifier: resends are bounded.
+    if (!answered || answered->resends >= m_context.settings.maxAnswerResends)
+        return;
+    ++answered->resends;
+    sendAnswer(record, answered->payload, turn);
+}
+
+void Outcomes::sendAnswer(const RequestRecord &record, const std::string &payload, Turn &turn) const
+{
+    const std::size_t partBytes = m_context.settings.answerPartBytes;
+    const std::size_t parts
+        = std::max<std::size_t>(1, (payload.size() + partBytes - 1) / partBytes);
+    for (std::size_t part = 0; part < parts; ++part) {
+        turn.toCaller(record.caller,
+                      RequestMessage{Answer{record.id, static_cast<std::uint32_t>(part),
+                                            static_cast<std::uint32_t>(parts),
+                                            payload.substr(part * partBytes, partBytes)}});
+    }
+}
+
+void Outcomes::observe(const RequestRecord &record, RequestOutcome outcome, RefusalCause refusal,
+                       Turn &turn) const
+{
+    const bool dispatched = record.attempts > 0;
+    const TimePoint left = dispatched ? record.dispatchedAt : turn.now;
+    turn.observe(RequestObserved{record.token.service, record.requestClass, outcome, refusal,
+                                 left - record.reservedAt, turn.now - record.reservedAt});
+}
+
+TimePoint Outcomes::keptUntil(const RequestRecord &record, TimePoint now) noexcept
+{
+    return std::max(record.token.deadline, now) + OutcomeGrace;
+}
+
+} // namespace baobabtrail
--- /dev/null
+++ b/src/core/requests/request_owner.cpp
@@ -0,0 +1,288 @@
+#include "core/requests/request_owner.h"
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+
+namespace baobabtrail {
+
+namespace {
+
+[[nodiscard]] const Reserve &reserveOf(const Handoff &ask)
+{
+    return std::get<Reserve>(ask.ask);
+}
+
+} // namespace
+
+RequestOwner::RequestOwner(NodeContext &context, TargetLinks &links)
+    : m_context(context)
+    , m_table(context.settings.maxRequests)
+    , m_outcomes(context, m_table)
+    , m_dispatcher(context, m_table, m_outcomes, links)
+{
+}
+
+void RequestOwner::fromCaller(const Endpoint &caller, RequestMessage message, Turn &turn)
+{
+    std::visit(
+        [&](auto &&m) {
+            using Message = std::decay_t<decltype(m)>;
+            if constexpr (std::is_same_v<Message, Reserve>)
+                reserve(newAsk(m_context, caller, m), false, turn);
+            else if constexpr (std::is_same_v<
+                                   Message, RequestData> || std::is_same_v<Message, CancelRequest>)
+                route(caller, std::forward<decltype(m)>(m), turn);
+        },
+        std::move(message));
+}
+
+void RequestOwner::fromPeer(Handoff ask, Turn &turn)
+{
+    for (const LoadHint &hint : ask.hints)
+        m_context.targets.hint(hint, turn.now);
+    reserve(std::move(ask), true, turn);
+}
+
+void RequestOwner::reserve(Handoff ask, bool forwarded, Turn &turn)
+{
+    if (answerRepeated(ask, turn))
+        return;
+    const Reserve reserve = reserveOf(ask);
+    if (reserve.timeLeft <= Duration{0})
+        return refuse(ask, RefusalCause::DeadlinePassed, Duration{0}, turn);
+    Duration comeBackAfter = m_context.spread(DefaultComeBack);
+    std::vector<TargetId> queues;
+    const auto offerSlot = [&](const Handoff &offered, TargetId target) {
+        queues.push_back(target);
+        return m_dispatcher.startsAtOnce(target, turn.now)
+               && offer(offered, target, comeBackAfter, turn);
+    };
+    if (forwarded && m_context.targets.owns(ask.target)) {
+        if (offerSlot(ask, ask.target))
+            return;
+        ask.hints.push_back(declinedLoad(m_context, ask.target, turn.now));
+    }
+    const Placing placing{[&](const std::vector<LoadHint> &declined) {
+                              return m_context.targets.chooseForRequest(
+                                  reserve.service, reserve.request, declined, turn.now,
+                                  m_context.random);
+                          },
+                          offerSlot};
+    if (placeAsk(m_context, turn, ask, forwarded, placing))
+        return;
+    // Without a free slot anywhere the ask waits where it is; each target tried was less loaded
+    // than the one before.
+    for (auto target = queues.rbegin(); target != queues.rend(); ++target) {
+        if (offer(ask, *target, comeBackAfter, turn))
+            return;
+    }
+    if (m_context.stopping)
+        return refuse(ask, RefusalCause::Stopping, comeBackAfter, turn);
+    if (!m_context.knows(reserve.service))
+        return refuse(ask, RefusalCause::UnknownService, comeBackAfter, turn);
+    const std::optional<RefusalCause> bound = refusalByBounds(reserve);
+    if (bound)
+        return refuse(ask, *bound, comeBackAfter, turn);
+    refuse(ask, ask.hints.empty() ? RefusalCause::NoTarget : RefusalCause::Overload, comeBackAfter,
+           turn);
+}
+
+// The caller may reserve again while its first reservation is on its way. With the same place it
+// can't hold two, whichever answer it takes; one that ended stays ended, as a copy of its request
+// that is still on its way would start the new one.
+bool RequestOwner::answerRepeated(const Handoff &ask, Turn &turn)
+{
+    const Reserve &reserve = reserveOf(ask);
+    RequestRecord *record = m_table.find(reserve.request);
+    if (!record)
+        return false;
+    if (record->token.service != reserve.service) {
+        refuse(ask, RefusalCause::Cancelled, Duration{0}, turn);
+        return true;
+    }
+    replyToAsk(m_context, turn, ask, Reserved{reserve.request, record->token});
+    return true;
+}
+
+bool RequestOwner::offer(const Handoff &ask, TargetId target, Duration &comeBackAfter, Turn &turn)
+{
+    const Reserve &reserve = reserveOf(ask);
+    const ServiceConfig *service = m_context.config->service(reserve.service);
+    if (!service || !service->targets.contains(target) || m_context.stopping)
+        return false;
+    if (refusalByBounds(reserve))
+        return false;
+
+    RequestRecord record;
+    record.id = reserve.request;
+    record.token.owner = m_context.identity.daemon;
+    record.token.incarnation = m_context.identity.incarnation;
+    record.token.service = reserve.service;
+    record.token.ownerAddress = m_context.identity.address;
+    record.token.deadline = turn.now + std::min(reserve.timeLeft, m_context.settings.maxDeadline);
+    record.caller = ask.caller;
+    record.target = target;
+    record.requestClass = reserve.requestClass;
+    record.idempotent = reserve.idempotent;
+    record.tenant = service->tenant;
+    record.reservedAt = turn.now;
+
+    const QueueEntry entry{record.id, record.requestClass, record.tenant, record.token.deadline,
+                           turn.now};
+    const std::optional<QueueRefusal> refusal = m_dispatcher.admit(target, entry, turn);
+    if (refusal) {
+        comeBackAfter = refusal->comeBackAfter;
+        return false;
+    }
+    record.token = m_context.keys->sealReservation(record.id, record.token);
+    record.dueAt = std::min(turn.now + m_context.settings.reservationLapse, record.token.deadline);
+    record.state = ReservedState{record.dueAt};
+    const Reserved reply{record.id, record.token};
+    m_table.add(std::move(record));
+    Handoff placed = ask;
+    placed.hints.push_back(m_context.targets.loadOf(target, turn.now));
+    replyToAsk(m_context, turn, placed, reply);
+    return true;
+}
+
+std::optional<RefusalCause> RequestOwner::refusalByBounds(const Reserve &reserve) const
+{
+    // What runs is never forgotten, so that the only way to stay within the bound is to take no
+    // more.
+    if (m_table.full() || m_table.answerBytes() >= m_context.settings.maxAnswerBytes)
+        return RefusalCause::TableFull;
+    const ServiceConfig *service = m_context.config->service(reserve.service);
+    if (service
+        && m_table.shareUsed(service->tenant, service->limits.tenantShare, m_context.tenantWeights))
+        return RefusalCause::TenantLimit;
+    return std::nullopt;
+}
+
+void RequestOwner::refuse(const Handoff &ask, RefusalCause cause, Duration comeBackAfter,
+                          Turn &turn)
+{
+    const Reserve &reserve = reserveOf(ask);
+    turn.observe(RequestObserved{
+        reserve.service, reserve.requestClass, RequestOutcome::NotRun, cause, {}, {}});
+    replyToAsk(m_context, turn, ask, NotRun{reserve.request, cause, comeBackAfter, DaemonId{}});
+}
+
+template <typename Message>
+void RequestOwner::route(const Endpoint &caller, Message message, Turn &turn)
+{
+    const ReservationToken &token = message.token;
+    if (m_context.keys->checkReservation(message.request, token) != TokenError::None) {
+        turn.observe(RejectObserved{RejectKind::BadReservation, token.service});
+        return;
+    }
+    if (token.owner == m_context.identity.daemon)
+        return own(caller, std::move(message), turn);
+    if (ownerIsGone(token)) {
+        turn.toCaller(caller,
+                      RequestMessage{OutcomeUnknown{message.request, UnknownCause::OwnerGone}});
+        return;
+    }
+    const Endpoint owner = token.ownerAddress;
+    turn.toPeer(owner, OwnerRequest{caller, std::move(message)});
+}
+
+void RequestOwner::fromPeer(OwnerRequest message, Turn &turn)
+{
+    std::visit(
+        [&](auto &&body) {
+            const ReservationToken &token = body.token;
+            if (m_context.keys->checkReservation(body.request, token) != TokenError::None) {
+                turn.observe(RejectObserved{RejectKind::BadReservation, token.service});
+                return;
+            }
+            if (token.owner != m_context.identity.daemon) {
+                // Another daemon was started at the owner's address.
+                turn.toCaller(message.caller, RequestMessage{OutcomeUnknown{
+                                                  body.request, UnknownCause::OwnerGone}});
+                return;
+            }
+            own(message.caller, std::forward<decltype(body)>(body), turn);
+        },
+        std::move(message.body));
+}
+
+bool RequestOwner::ownerIsGone(const ReservationToken &token) const noexcept
+{
+    // The view may be wrong: then the owner runs the request all the same, once, and the caller
+    // has been told no more than that nobody knows.
+    const Member *owner = m_context.view->find(token.owner);
+    return owner && owner->state == MemberState::Dead && owner->incarnation == token.incarnation;
+}
+
+template <typename Message>
+void RequestOwner::own(const Endpoint &caller, Message message, Turn &turn)
+{
+    const ReservationToken &token = message.token;
+    const RequestId request = message.request;
+    if (token.incarnation != m_context.identity.incarnation) {
+        turn.toCaller(caller,
+                      RequestMessage{OutcomeUnknown{request, UnknownCause::OwnerRestarted}});
+        return;
+    }
+    RequestRecord *record = m_table.find(request);
+    // A copy that comes after its record was dropped finds none, or one of a later reservation: it
+    // may have run under the old one, and must not start the new one.
+    if (!record || record->token != token) {
+        turn.toCaller(caller, RequestMessage{OutcomeUnknown{request, UnknownCause::Expired}});
+        return;
+    }
+    record->caller = caller;
+    handle(*record, std::move(message), turn);
+}
+
+void RequestOwner::handle(RequestRecord &record, RequestData message, Turn &turn)
+{
+    if (std::holds_alternative<ReservedState>(record.state))
+        return m_dispatcher.requestCame(record, std::move(message.payload), turn);
+    if (!record.inProgress())
+        m_outcomes.repeat(record, turn);
+}
+
+void RequestOwner::handle(RequestRecord &record, const CancelRequest &, Turn &turn)
+{
+    if (record.waits()) {
+        m_dispatcher.leave(record);
+        const bool hasCome = std::holds_alternative<QueuedState>(record.state);
+        m_outcomes.notRun(record, RefusalCause::Cancelled, Duration{0}, turn);
+        if (hasCome)
+            return;
+    }
+    if (record.inProgress())
+        return m_dispatcher.cancelAttempt(record, turn);
+    m_outcomes.repeat(record, turn);
+}
+
+void RequestOwner::advance(Turn &turn)
+{
+    while (RequestRecord *record = m_table.due(turn.now))
+        expire(*record, turn);
+}
+
+void RequestOwner::expire(RequestRecord &record, Turn &turn)
+{
+    if (std::holds_alternative<RunningState>(record.state))
+        return m_dispatcher.abandon(record, turn);
+    if (!record.waits()) {
+        m_table.erase(record.id);
+        return;
+    }
+    const TargetId target = record.target;
+    m_dispatcher.leave(record);
+    const bool late = record.token.deadline <= turn.now;
+    const RefusalCause cause = late ? RefusalCause::DeadlinePassed : RefusalCause::Cancelled;
+    m_outcomes.notRun(record, cause, Duration{0}, turn);
+    m_dispatcher.pump(target, turn);
+}
+
+std::optional<TimePoint> RequestOwner::nextTimer() const noexcept
+{
+    return earlier(m_table.nextTimer(), m_dispatcher.nextTimer());
+}
+
+} // namespace baobabtrail
--- /dev/null
+++ b/src/core/traffic/handoffs.cpp
@@ -0,0 +1,85 @@
+#include "core/traffic/handoffs.h"
+
+namespace baobabtrail {
+
+namespace {
+
+/// Most own targets that one ask is offered to before it is handed on.
+constexpr int MaxOwnOffers = 8;
+
+void sendToCaller(Turn &turn, const Endpoint &caller, AskReply reply)
+{
+    struct Send
+    {
+        Turn &turn;
+        const Endpoint &caller;
+        void operator()(AcceptFlow &&m) const { turn.toCaller(caller, FlowMessage{m}); }
+        void operator()(RefuseFlow &&m) const { turn.toCaller(caller, FlowMessage{m}); }
+        void operator()(Reserved &&m) const { turn.toCaller(caller, RequestMessage{m}); }
+        void operator()(NotRun &&m) const { turn.toCaller(caller, RequestMessage{m}); }
+    };
+    std::visit(Send{turn, caller}, std::move(reply));
+}
+
+} // namespace
+
+Handoff newAsk(const NodeContext &context, const Endpoint &caller,
+               std::variant<OpenFlow, Reserve> body)
+{
+    Handoff ask;
+    ask.caller = caller;
+    ask.entry = context.identity.address;
+    ask.ask = body;
+    return ask;
+}
+
+LoadHint declinedLoad(const NodeContext &context, TargetId target, TimePoint now)
+{
+    // A stopping daemon takes nothing, however low its loads are.
+    if (context.stopping)
+        return {target, WorstLoad, WorstLoad};
+    return context.targets.loadOf(target, now);
+}
+
+bool placeAsk(NodeContext &context, Turn &turn, Handoff &ask, bool forwarded,
+              const Placing &placing)
+{
+    for (int offers = 0; offers < MaxOwnOffers; ++offers) {
+        const std::optional<PlacementChoice> choice = placing.choose(ask.hints);
+        if (!choice)
+            return false;
+        if (!choice->own) {
+            // Owners whose views differ could pass an ask round in a ring; the count ends it.
+            if (forwarded && ask.hops >= context.settings.maxHops)
+                return false;
+            if (choice->owner.isNull() || choice->owner == context.identity.address)
+                return false;
+            ask.hops += forwarded ? 1 : 0;
+            ask.target = choice->target;
+            turn.toPeer(choice->owner, ask);
+            return true;
+        }
+        if (placing.offer(ask, choice->target))
+            return true;
+        ask.hints.push_back(declinedLoad(context, choice->target, turn.now));
+    }
+    return false;
+}
+
+void replyToAsk(NodeContext &context, Turn &turn, const Handoff &ask, AskReply reply)
+{
+    if (ask.entry == context.identity.address) {
+        sendToCaller(turn, ask.caller, std::move(reply));
+        return;
+    }
+    turn.toPeer(ask.entry, HandoffReply{ask.caller, ask.hints, std::move(reply)});
+}
+
+void passReply(NodeContext &context, Turn &turn, HandoffReply reply)
+{
+    for (const LoadHint &hint : reply.hints)
+        context.targets.hint(hint, turn.now);
+    sendToCaller(turn, reply.caller, std::move(reply.reply));
+}
+
+} // namespace baobabtrail
--- /dev/null
+++ b/src/core/traffic/node_context.cpp
@@ -0,0 +1,50 @@
+#include "core/traffic/node_context.h"
+
+#include <map>
+#include <string>
+#include <utility>
+
+namespace baobabtrail {
+
+void NodeContext::setConfig(ConfigPtr newest)
+{
+    config = std::move(newest);
+    targetIndex.clear();
+    std::map<std::string, std::uint64_t> weights;
+    for (const auto &[id, service] : config->services) {
+        std::uint64_t &weight = weights[service.tenant];
+        weight = std::max<std::uint64_t>(weight, service.limits.tenantShare);
+        for (const auto &[target, targetConfig] : service.targets)
+            targetIndex[target] = &targetConfig;
+    }
+    tenantWeights = 0;
+    for (const auto &[tenant, weight] : weights)
+        tenantWeights += weight;
+}
+
+void Turn::toCaller(const Endpoint &caller, FlowMessage message)
+{
+    out.emplace_back(std::in_place_type<SendToCaller>, caller, CallerMessage{std::move(message)});
+}
+
+void Turn::toCaller(const Endpoint &caller, RequestMessage message)
+{
+    out.emplace_back(std::in_place_type<SendToCaller>, caller, CallerMessage{std::move(message)});
+}
+
+void Turn::toPeer(const Endpoint &peer, PeerMessage message)
+{
+    out.emplace_back(std::in_place_type<SendToPeer>, peer, std::move(message));
+}
+
+void Turn::onLink(TargetId target, Generation generation, LinkMessage message)
+{
+    out.emplace_back(std::in_place_type<SendOnLink>, target, generation, std::move(message));
+}
+
+void Turn::observe(const Observation &observation)
+{
+    out.emplace_back(std::in_place_type<Observation>, observation);
+}
+
+} // namespace baobabtrail
--- /dev/null
+++ b/src/core/traffic/node_context.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "core/config/config.h"
+#include "core/keys.h"
+#include "core/membership/view.h"
+#include "core/random.h"
+#include "core/targets/target_table.h"
+#include "core/traffic/actions.h"
+#include "core/traffic/settings.h"
+
+#include <boost/random/uniform_int_distribution.hpp>
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <type_traits>
+#include <unordered_map>
+#include <utility>
+
+namespace baobabtrail {
+
+/// \brief What the parts of a TrafficNode share.
+struct NodeContext
+{
+    NodeIdentity identity;
+    TrafficSettings settings;
+    std::shared_ptr<const KeyRing> keys;
+    Random random;
+    TargetTable targets;
+    ConfigPtr config; ///< Never null.
+    ViewPtr view;     ///< Never null.
+    bool stopping = false;
+    std::uint64_t tenantWeights = 0;                                ///< Sum of the tenants' shares.
+    std::unordered_map<TargetId, const TargetConfig *> targetIndex; ///< Into the configuration.
+
+    /// \brief Takes a configuration that is not older than the one in force.
+    void setConfig(ConfigPtr newest);
+    /// \return The target, of whichever service, or null.
+    [[nodiscard]] const TargetConfig *target(TargetId id) const noexcept
+    {
+        const auto found = targetIndex.find(id);
+        return found == targetIndex.end() ? nullptr : found->second;
+    }
+    /// \return A time between half of \a mean and one and a half of it, so that callers that were
+    /// refused together don't return together.
+    [[nodiscard]] Duration spread(Duration mean)
+    {
+        using Draw = boost::random::uniform_int_distribution<Duration::rep>;
+        return Duration{Draw{mean.count() / 2, mean.count() + mean.count() / 2}(random)};
+    }
+
+    /// \return Whether the ask may not be answered for want of a service in the configuration.
+    [[nodiscard]] bool knows(ServiceId service) const noexcept
+    {
+        return config->service(service) != nullptr;
+    }
+};
+
+/// \brief The handling of one event: its time, and the actions that it brings about.
+struct Turn
+{
+    TimePoint now;
+    TrafficActions &out;
+
+    template <typename Action>
+    void add(Action &&action)
+    {
+        out.emplace_back(std::in_place_type<std::decay_t<Action>>, std::forward<Action>(action));
+    }
+    void toCaller(const Endpoint &caller, FlowMessage message);
+    void toCaller(const Endpoint &caller, RequestMessage message);
+    void toPeer(const Endpoint &peer, PeerMessage message);
+    void onLink(TargetId target, Generation generation, LinkMessage message);
+    void observe(const Observation &observation);
+};
+
+/// \brief Time until a refused caller may come back where no queue foresees a better one.
+inline constexpr Duration DefaultComeBack = 200ms;
+
+/// Load of a target that must not be chosen again; larger than any that is told.
+inline constexpr float WorstLoad = 1e9F;
+
+/// \return The earlier of two times, where nothing is later than all.
+[[nodiscard]] inline std::optional<TimePoint> earlier(std::optional<TimePoint> a,
+                                                      std::optional<TimePoint> b) noexcept
+{
+    if (!a)
+        return b;
+    if (!b)
+        return a;
+    return std::min(*a, *b);
+}
+
+} // namespace baobabtrail
--- /dev/null
+++ b/src/core/traffic/retirement.cpp
@@ -0,0 +1,83 @@
+#include "core/traffic/retirement.h"
+
+#include <algorithm>
+#include <string>
+
+namespace baobabtrail {
+
+namespace {
+
+constexpr Duration CheckPeriod = 1s;
+/// How long a target has to stay empty: an open that another daemon offered before it heard of the
+/// retirement may be accepted after the report that says zero.
+constexpr Duration EmptyFor = 5s;
+constexpr Duration FirstBackOff = 5s;
+constexpr Duration MaxBackOff = 60s;
+/// A report older than this says nothing about now.
+constexpr Duration MaxReportAge = 5s;
+
+} // namespace
+
+void Retirement::configure(Turn &turn)
+{
+    const std::map<TargetId, Candidate> before = std::move(m_candidates);
+    m_candidates.clear();
+    m_nextCheck.reset();
+    for (const auto &[serviceId, service] : m_context.config->services) {
+        for (const auto &[id, target] : service.targets) {
+            if (target.state != TargetState::Retiring || !m_context.targets.owns(id))
+                continue;
+            const auto found = before.find(id);
+            if (found != before.end())
+                m_candidates.insert(*found);
+            else
+                m_candidates[id].service = serviceId;
+        }
+    }
+    if (!m_candidates.empty())
+        m_nextCheck = turn.now + CheckPeriod;
+}
+
+void Retirement::advance(Turn &turn)
+{
+    if (!m_nextCheck || *m_nextCheck > turn.now)
+        return;
+    m_nextCheck = turn.now + CheckPeriod;
+    for (auto &[target, candidate] : m_candidates) {
+        if (!holdsNothing(target, candidate, turn.now)) {
+            candidate.emptySince.reset();
+            continue;
+        }
+        if (!candidate.emptySince)
+            candidate.emptySince = turn.now;
+        if (turn.now < *candidate.emptySince + EmptyFor || turn.now < candidate.proposeAt)
+            continue;
+        propose(target, candidate, turn);
+    }
+}
+
+bool Retirement::holdsNothing(TargetId target, const Candidate &, TimePoint now) const
+{
+    const std::optional<TargetStatus> status = m_context.targets.status(target, now);
+    if (!status || status->health == TargetHealth::Unverified || status->reportAge > MaxReportAge)
+        return false;
+    const LoadReport &load = status->reported;
+    return load.connections == 0 && load.running == 0 && load.queued == 0 && !m_inUse(target);
+}
+
+void Retirement::propose(TargetId target, Candidate &candidate, Turn &turn)
+{
+    const ServiceConfig *service = m_context.config->service(candidate.service);
+    const TargetConfig *config = m_context.target(target);
+    if (!service || !config)
+        return;
+    // The same id from every daemon that thinks it owns the target: the log takes it once.
+    const std::string changeId = "remove-" + std::to_string(target.value()) + "-"
+                                 + std::to_string(config->generation.value());
+    const TargetName name{{service->tenant, service->name}, config->name};
+    turn.add(ProposeCommand{changeId, RemoveTarget{name, config->generation}});
+    candidate.backOff = std::clamp<Duration>(candidate.backOff * 2, FirstBackOff, MaxBackOff);
+    candidate.proposeAt = turn.now + m_context.spread(candidate.backOff);
+}
+
+} // namespace baobabtrail
--- /dev/null
+++ b/src/core/traffic/target_links.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "core/traffic/node_context.h"
+
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace baobabtrail {
+
+/// \brief The connections to the targets that this daemon owns, or still has work on.
+class TargetLinks
+{
+public:
+    explicit TargetLinks(NodeContext &context)
+        : m_context(context)
+    {
+    }
+
+    /// \brief Opens and closes connections as configuration, ownership and use ask for.
+    /// \param inUse Whether work is left at a target.
+    /// \return Targets whose connection was closed while it may have been in use.
+    [[nodiscard]] std::vector<TargetId> reconcile(const std::function<bool(TargetId)> &inUse,
+                                                  Turn &turn);
+    void opened(TargetId target, Generation generation, Turn &turn);
+    /// \return Whether it was the connection that is in use.
+    [[nodiscard]] bool closed(TargetId target, Generation generation, Turn &turn);
+    /// \return Whether it came over the connection that is in use.
+    [[nodiscard]] bool isCurrent(TargetId target, Generation generation) const noexcept;
+    /// \return Whether the target may get work since.
+    [[nodiscard]] bool helloReply(TargetId target, const LinkHelloReply &reply, Turn &turn);
+
+    /// \brief Sends hellos that are due.
+    /// \return Targets that no longer answer; their connection was closed.
+    [[nodiscard]] std::vector<TargetId> advance(Turn &turn);
+    [[nodiscard]] std::optional<TimePoint> nextTimer() const noexcept { return m_nextTimer; }
+
+    /// \return The generation that may get work now, or nothing.
+    [[nodiscard]] std::optional<Generation> usable(TargetId target) const noexcept;
+    /// \return Whether a connection is kept for work alone, to a target that is not owned any more.
+    [[nodiscard]] bool hasLeftovers() const noexcept { return m_leftovers > 0; }
+
+private:
+    struct Link
+    {
+        ServiceId service;
+        Generation generation;
+        Endpoint address;
+        bool open = false;
+        bool verified = false;
+        bool leftover = false; ///< Not owned any more.
+        std::uint32_t unansweredHellos = 0;
+        std::optional<TimePoint>
+            retryAt; ///< When to open it, where it is neither open nor opening.
+        TimePoint helloAt;
+    };
+
+    void connect(TargetId target, Link &link, Turn &turn);
+    void hello(TargetId target, Link &link, Turn &turn);
+    void lose(TargetId target, Link &link, Turn &turn);
+    void schedule() noexcept;
+
+    NodeContext &m_context;
+    std::map<TargetId, Link> m_links;
+    std::size_t m_leftovers = 0;
+    std::optional<TimePoint> m_nextTimer;
+};
+
+} // namespace baobabtrail
