--- a/src/core/requests/dispatcher.cpp
+++ b/src/core/requests/dispatcher.cpp
@@ -128,9 +128,9 @@
     const AttemptId attempt{m_nextAttempt++};
     const Generation generation = *m_links.usable(record.target);
     std::string payload = std::move(std::get<QueuedState>(record.state).payload);
-    turn.onLink(record.target, generation,
-                Dispatch{attempt, record.id, record.token.service, record.requestClass, timeLeft,
-                         payload});
+    turn.onLink(
+        record.target, generation,
+        Dispatch{attempt, record.id, record.token.service, record.requestClass, timeLeft, payload});
     if (record.attempts++ == 0) {
         record.dispatchedAt = turn.now;
         budget(record).firstAttempt();
--- a/src/core/requests/request_owner.cpp
+++ b/src/core/requests/request_owner.cpp
@@ -64,9 +64,9 @@
         ask.hints.push_back(declinedLoad(m_context, ask.target, turn.now));
     }
     const Placing placing{[&](const std::vector<LoadHint> &declined) {
-                              return m_context.targets.chooseForRequest(
-                                  reserve.service, reserve.request, declined, turn.now,
-                                  m_context.random);
+                              return m_context.targets.chooseForRequest(reserve.service,
+                                                                        reserve.request, declined,
+                                                                        turn.now, m_context.random);
                           },
                           offerSlot};
     if (placeAsk(m_context, turn, ask, forwarded, placing))
--- a/src/core/requests/waiting_line.h
+++ b/src/core/requests/waiting_line.h
@@ -24,8 +24,7 @@
     /// \brief Takes a place.
     /// \param displaced Set to the entry that had to go.
     /// \return Nothing where it was taken, else why not.
-    [[nodiscard]] std::optional<QueueRefusal> admit(QueueEntry entry, TimePoint now,
-                                                    Random &random,
+    [[nodiscard]] std::optional<QueueRefusal> admit(QueueEntry entry, TimePoint now, Random &random,
                                                     std::optional<QueueEntry> &displaced);
     /// \brief Takes a place in front, whether there is room or not, for a request that another
     /// target could not run.
@@ -57,7 +56,7 @@
     [[nodiscard]] std::optional<RequestId> takeAdopted();
 
     AdmissionQueue m_queue;
-    std::vector<Aside> m_adopted;
+    std::vector<Adopted> m_adopted;
 };
 
 } // namespace baobabtrail
--- a/src/core/traffic/node_context.cpp
+++ b/src/core/traffic/node_context.cpp
@@ -6,6 +6,17 @@
 
 namespace baobabtrail {
 
+NodeContext::NodeContext(NodeIdentity ownIdentity, TrafficSettings ownSettings,
+                         std::shared_ptr<const KeyRing> sharedKeys, std::uint64_t seed)
+    : identity(std::move(ownIdentity))
+    , settings(ownSettings)
+    , keys(std::move(sharedKeys))
+    , random(seed)
+    , config(std::make_shared<Config>())
+    , view(std::make_shared<View>())
+{
+}
+
 void NodeContext::setConfig(ConfigPtr newest)
 {
     config = std::move(newest);
--- a/src/core/traffic/node_context.h
+++ b/src/core/traffic/node_context.h
@@ -22,6 +22,9 @@
 /// \brief What the parts of a TrafficNode share.
 struct NodeContext
 {
+    NodeContext(NodeIdentity identity, TrafficSettings settings,
+                std::shared_ptr<const KeyRing> keys, std::uint64_t seed);
+
     NodeIdentity identity;
     TrafficSettings settings;
     std::shared_ptr<const KeyRing> keys;
--- a/src/core/traffic/traffic_node.cpp
+++ b/src/core/traffic/traffic_node.cpp
@@ -54,12 +54,7 @@
 
 TrafficNode::Impl::Impl(NodeIdentity identity, TrafficSettings settings,
                         std::shared_ptr<const KeyRing> keys, std::uint64_t seed)
-    : m_context{.identity = std::move(identity),
-                .settings = settings,
-                .keys = std::move(keys),
-                .random = Random{seed},
-                .config = std::make_shared<Config>(),
-                .view = std::make_shared<View>()}
+    : m_context(std::move(identity), settings, std::move(keys), seed)
     , m_links(m_context)
     , m_flows(m_context)
     , m_requests(m_context, m_links)
