--- /dev/null
+++ b/tests/flows/flow_test.cpp
@@ -0,0 +1,275 @@
+#include "support/node_rig.h"
+
+#include <criterion/criterion.h>
+
+using namespace baobabtrail;
+using namespace baobabtrail::fake;
+
+namespace {
+
+constexpr FlowId Flow{42};
+
+[[nodiscard]] std::vector<SendToTarget> open(NodeRig &rig, FlowId flow = Flow,
+                                             std::uint32_t attempt = 0)
+{
+    rig.fromCaller(FlowMessage{OpenFlow{flow, rig.service, {}, attempt}});
+    return rig.all<SendToTarget>();
+}
+
+void answer(NodeRig &rig, const SendToTarget &sent, FlowMessage body)
+{
+    const TargetDatagram &datagram = sent.datagram;
+    rig.handle(FromTarget{
+        sent.target,
+        {datagram.caller, datagram.token, datagram.replyTo, LoadReport{}, std::move(body)}});
+}
+
+/// \return Token of a flow that was opened and accepted.
+[[nodiscard]] FlowToken accepted(NodeRig &rig, FlowId flow = Flow)
+{
+    const SendToTarget sent = open(rig, flow).at(0);
+    answer(rig, sent, AcceptFlow{flow, sent.datagram.token});
+    return rig.toCaller<AcceptFlow>().at(0).token;
+}
+
+[[nodiscard]] std::vector<SendToTarget> sendData(NodeRig &rig, const FlowToken &token,
+                                                 FlowId flow = Flow)
+{
+    rig.fromCaller(FlowMessage{FlowData{flow, token, "count"}});
+    return rig.all<SendToTarget>();
+}
+
+} // namespace
+
+// The open is sent twice before the accept arrives, then the accept comes twice: one token, so that
+// the target holds one flow. A daemon that has lost the open passes the accept on all the same.
+Test(flow, isPlacedOnceForAllCopies)
+{
+    NodeRig rig;
+    const SendToTarget first = open(rig).at(0);
+    const SendToTarget second = open(rig).at(0);
+    cr_assert(first.datagram.token == second.datagram.token);
+    cr_assert(first.datagram.replyTo == NodeRig::identity().address);
+    cr_assert_eq(rig.node.counts().pendingOpens, 1);
+    for (int copy = 0; copy < 2; ++copy) {
+        answer(rig, first, AcceptFlow{Flow, first.datagram.token});
+        cr_assert(rig.toCaller<AcceptFlow>().at(0).token == first.datagram.token);
+    }
+    cr_assert_eq(rig.node.counts().pendingOpens, 0);
+
+    NodeRig restarted;
+    answer(restarted, first, AcceptFlow{Flow, first.datagram.token});
+    cr_assert_eq(restarted.toCaller<AcceptFlow>().size(), 1);
+}
+
+// An open that came through another daemon is answered through it, with the owner's load, so that
+// the entry learns it without a control byte.
+Test(flow, isAnsweredThroughItsEntry)
+{
+    NodeRig rig;
+    Handoff ask{NodeRig::Caller,
+                NodeRig::OtherPeer,
+                rig.target().id,
+                0,
+                {},
+                OpenFlow{Flow, rig.service, {}, 0}};
+    rig.handle(FromPeer{NodeRig::OtherPeer, {DaemonId{101}, Incarnation{1}, ask}});
+    const SendToTarget sent = rig.all<SendToTarget>().at(0);
+    answer(rig, sent, AcceptFlow{Flow, sent.datagram.token});
+    const SendToPeer reply = rig.all<SendToPeer>().at(0);
+    cr_assert(reply.peer == NodeRig::OtherPeer);
+    const auto &handoffReply = std::get<HandoffReply>(reply.message);
+    cr_assert(handoffReply.hints.at(0).target == rig.target().id);
+
+    NodeRig entry;
+    entry.handle(FromPeer{NodeRig::OtherPeer, {DaemonId{100}, Incarnation{1}, handoffReply}});
+    cr_assert_eq(entry.toCaller<AcceptFlow>().size(), 1);
+}
+
+// Planned changes happen while a flow goes on: daemons are replaced, the configuration moves on,
+// the target drains or retires, keys are rotated once. The flow is forwarded by each of them.
+Test(flow, survivesPlannedChange)
+{
+    NodeRig rig;
+    const FlowToken token = accepted(rig);
+    rig.target().state = TargetState::Draining;
+    rig.publish();
+    cr_assert_eq(sendData(rig, token).size(), 1);
+    cr_assert(open(rig, FlowId{43}).empty());
+    rig.target().state = TargetState::Retiring;
+    rig.publish();
+    rig.keys->rotate(KeyEpoch{2});
+    cr_assert_eq(sendData(rig, token).size(), 1);
+    cr_assert(rig.all<SendToTarget>().at(0).target == token.address);
+
+    NodeRig booted;
+    cr_assert_eq(sendData(booted, token).size(), 1);
+    // Behind by many revisions: it has not even heard of the target.
+    TrafficNode behind{NodeRig::identity(), {}, rig.keys, 1};
+    TrafficActions actions;
+    behind.handle(FromCaller{NodeRig::Caller, FlowMessage{KeepAlive{Flow, token, 0}}}, rig.now,
+                  actions);
+    cr_assert(std::get<SendToTarget>(actions.at(0)).target == token.address);
+}
+
+// The target of a flow was cut, or its name stands for another machine by now. Its address may
+// serve another service: whoever knows of it resets the flow at once, in either direction.
+Test(flow, isResetOnceItsTargetIsCut)
+{
+    for (const std::string change : {"cut", "replaced", "gone"}) {
+        NodeRig rig;
+        const FlowToken token = accepted(rig);
+        if (change == "cut")
+            rig.target().state = TargetState::Cut;
+        else if (change == "replaced")
+            rig.target().generation = Generation{99};
+        else
+            rig.config.services[rig.service].targets.clear();
+        rig.publish();
+        cr_assert(sendData(rig, token).empty());
+        cr_assert_eq(rig.toCaller<ResetFlow>().at(0).cause, ResetCause::TargetCut);
+        rig.handle(FromTarget{token.address,
+                              {NodeRig::Caller, token, {}, {}, FlowData{Flow, token, "late"}}});
+        cr_assert(rig.toCaller<FlowData>().empty());
+        cr_assert_eq(rig.toCaller<ResetFlow>().size(), 1);
+    }
+}
+
+// Tokens that don't hold: for another flow, service or target, of keys long dropped. The sender is
+// told. One of a key that this daemon hasn't heard of yet is dropped without a word: a reset would
+// end a flow that every other daemon serves.
+Test(flow, isForwardedOnlyByItsOwnToken)
+{
+    NodeRig rig;
+    const FlowToken token = accepted(rig);
+    FlowToken forged = token;
+    forged.service = serviceId("alexandria", "catalogue");
+    cr_assert(sendData(rig, forged).empty());
+    cr_assert_eq(rig.toCaller<ResetFlow>().at(0).cause, ResetCause::BadToken);
+    cr_assert(sendData(rig, token, FlowId{43}).empty());
+
+    KeyRing ahead{std::vector<std::byte>(32, std::byte{7}), KeyEpoch{4}};
+    cr_assert(sendData(rig, ahead.sealFlow(Flow, token)).empty());
+    cr_assert(rig.all<SendToCaller>().empty());
+    rig.keys->rotate(KeyEpoch{4});
+    cr_assert(sendData(rig, token).empty());
+    cr_assert_eq(rig.toCaller<ResetFlow>().at(0).cause, ResetCause::BadToken);
+}
+
+// A caller plays the target: with its own token it would have the daemons send what it likes to
+// whom it likes. Only the address that the token names is heard.
+Test(flow, takesATargetsWordOnlyFromItsAddress)
+{
+    NodeRig rig;
+    const FlowToken token = accepted(rig);
+    const TargetDatagram datagram{
+        Endpoint{0x0b000099, 1}, token, {}, {}, FlowData{Flow, token, "not yours"}};
+    rig.handle(FromTarget{NodeRig::Caller, datagram});
+    cr_assert(rig.all<SendToCaller>().empty());
+    rig.handle(FromTarget{token.address, datagram});
+    cr_assert_eq(rig.all<SendToCaller>().size(), 1);
+}
+
+// The chosen target refuses the open, or says that it serves another service by now. The open goes
+// on to another target; only when none is left is the caller refused, with a time to come back.
+Test(flow, movesOnWhenATargetRefuses)
+{
+    NodeRig rig{2};
+    const SendToTarget first = open(rig).at(0);
+    answer(rig, first, ResetFlow{Flow, ResetCause::WrongService, {}});
+    const auto second = rig.all<SendToTarget>();
+    cr_assert_eq(second.size(), 1);
+    cr_assert(second.at(0).target != first.target);
+    answer(rig, second.at(0), RefuseFlow{Flow, RefusalCause::TargetShed, {}});
+    cr_assert(rig.all<SendToTarget>().empty());
+    cr_assert(rig.toCaller<RefuseFlow>().at(0).comeBackAfter > 0s);
+}
+
+// Opens that targets never answer: their number is bounded, and they are given up in time.
+Test(flow, boundsPendingOpens)
+{
+    TrafficSettings settings;
+    settings.maxPendingOpens = 3;
+    NodeRig rig{1, 1, settings};
+    for (std::uint64_t id = 0; id < 5; ++id)
+        cr_assert_eq(open(rig, FlowId{id}).size(), id < 3 ? 1 : 0);
+    cr_assert_eq(rig.toCaller<RefuseFlow>().at(0).cause, RefusalCause::TableFull);
+    rig.pass(1s);
+    cr_assert_eq(rig.node.counts().pendingOpens, 0);
+    cr_assert_eq(open(rig, FlowId{9}).size(), 1);
+}
+
+// Keep-alives of one flow stay unanswered while the target answers others: the caller is told to
+// open anew, the target to forget the old flow. One lost keep-alive does not do it.
+Test(flow, isReopenedOnceItIsSilent)
+{
+    NodeRig rig;
+    const FlowToken token = accepted(rig);
+    const std::uint32_t silentAfter = TrafficSettings{}.silentAfter;
+    for (std::uint32_t unanswered = 0; unanswered < silentAfter; ++unanswered) {
+        rig.fromCaller(FlowMessage{KeepAlive{Flow, token, unanswered}});
+        cr_assert_eq(rig.all<SendToTarget>().size(), 1);
+    }
+    rig.fromCaller(FlowMessage{KeepAlive{Flow, token, silentAfter}});
+    cr_assert_eq(rig.toCaller<ResetFlow>().at(0).cause, ResetCause::Silent);
+    const auto told = rig.all<SendToTarget>();
+    cr_assert(std::holds_alternative<CloseFlow>(told.at(0).datagram.body));
+}
+
+// Two daemons each take the other for the owner, while the views change. The ask would go round
+// between them for ever; after two forwards it ends with an answer to the caller.
+Test(flow, isNotForwardedInARing)
+{
+    NodeRig rig;
+    rig.view.members.front().state = MemberState::Leaving;
+    rig.view.members.push_back({DaemonId{101},
+                                Incarnation{1},
+                                NodeRig::OtherPeer,
+                                {},
+                                "alx-raml",
+                                MemberState::Alive,
+                                Revision{10}});
+    rig.handle(ViewChanged{std::make_shared<View>(rig.view)});
+    for (const bool isFlow : {true, false}) {
+        Handoff ask{NodeRig::Caller, NodeRig::OtherPeer, rig.target().id, 0, {}, rig.ask(1)};
+        if (isFlow)
+            ask.ask = OpenFlow{Flow, rig.service, {}, 0};
+        int forwards = 0;
+        for (; forwards < 10; ++forwards) {
+            rig.handle(FromPeer{NodeRig::OtherPeer, {DaemonId{101}, Incarnation{1}, ask}});
+            const SendToPeer sent = rig.all<SendToPeer>().at(0);
+            if (!std::holds_alternative<Handoff>(sent.message))
+                break;
+            ask = std::get<Handoff>(sent.message);
+        }
+        cr_assert_eq(forwards, TrafficSettings{}.maxHops);
+    }
+}
+
+// A daemon that has just joined gets asks before it knows any target. It gives them back to the
+// entry, which knows more, with the target marked; the entry refuses only what it can't place.
+Test(flow, isGivenBackByADaemonThatKnowsNoTarget)
+{
+    NodeRig rig;
+    TrafficNode joined{NodeRig::identity(), {}, rig.keys, 1};
+    Handoff ask{NodeRig::Caller, NodeRig::OtherPeer, TargetId{7}, 0, {}, rig.ask(1)};
+    TrafficActions actions;
+    joined.handle(FromPeer{NodeRig::OtherPeer, {DaemonId{101}, Incarnation{1}, ask}}, rig.now,
+                  actions);
+    const auto &sent = std::get<SendToPeer>(actions.at(0));
+    const auto &returned = std::get<Handoff>(sent.message);
+    cr_assert(sent.peer == NodeRig::OtherPeer && returned.hops == 1);
+    cr_assert(returned.hints.at(0).target == TargetId{7});
+}
+
+// An older configuration reaches the node after a newer one, as deliveries may cross.
+Test(flow, configurationNeverReverts)
+{
+    NodeRig rig;
+    const auto older = std::make_shared<Config>(rig.config);
+    const FlowToken token = accepted(rig);
+    rig.target().state = TargetState::Cut;
+    rig.publish();
+    rig.handle(ConfigChanged{older});
+    cr_assert(sendData(rig, token).empty());
+}
--- /dev/null
+++ b/tests/requests/change_test.cpp
@@ -0,0 +1,191 @@
+#include "support/node_rig.h"
+
+#include <criterion/criterion.h>
+
+using namespace baobabtrail;
+using namespace baobabtrail::fake;
+
+// Operators drain a target that has one request running and one waiting. The running one is
+// answered; the waiting one must not start there after a few seconds, so it is refused by then.
+Test(requestChange, emptiesTheQueueOfADrainingTarget)
+{
+    NodeRig rig;
+    const auto running = rig.start(rig.ask(1, 30s));
+    cr_assert(!rig.start(rig.ask(2, 30s)));
+    rig.target().state = TargetState::Draining;
+    rig.publish();
+    cr_assert(!rig.reserve(rig.ask(3)));
+    rig.pass(3s);
+    cr_assert_eq(rig.toCaller<NotRun>().at(0).request.low, 2);
+    rig.done(*running);
+    cr_assert_eq(rig.toCaller<Answer>().size(), 1);
+    cr_assert(rig.onLinks<Dispatch>().empty());
+}
+
+// Another target of the service is there: what waits moves to it instead of being refused.
+Test(requestChange, movesTheQueueToAnotherTarget)
+{
+    NodeRig rig{2};
+    std::vector<std::pair<TargetId, Dispatch>> running;
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+        if (const auto dispatch = rig.start(rig.ask(id, 30s)))
+            running.push_back(*dispatch);
+    }
+    cr_assert_eq(running.size(), 2);
+    rig.target("t0").state = TargetState::Draining;
+    rig.target("t1").state = TargetState::Draining;
+    rig.publish();
+    const auto &other = running.front().first == rig.target("t0").id ? "t0" : "t1";
+    rig.pass(1s);
+    rig.target(other).state = TargetState::Active;
+    rig.publish();
+    rig.done(running.front());
+    rig.pass(3s);
+    cr_assert(rig.toCaller<NotRun>().empty());
+    cr_assert_eq(rig.node.counts().runningAttempts, 2);
+}
+
+// The target passes to another daemon while its request runs and one more is reserved. Both end
+// here; then the link is closed, not before.
+Test(requestChange, finishesWorkOnATargetThatItNoLongerOwns)
+{
+    NodeRig rig;
+    const auto running = rig.start(rig.ask(1, 30s));
+    const auto reserved = rig.reserve(rig.ask(2, 30s));
+    rig.view.members.front().state = MemberState::Leaving;
+    rig.handle(ViewChanged{std::make_shared<View>(rig.view)});
+    cr_assert(rig.all<CloseLink>().empty());
+    rig.send(2, *reserved);
+    rig.done(*running);
+    cr_assert_eq(rig.toCaller<Answer>().size(), 1);
+    const auto next = rig.onLinks<Dispatch>();
+    cr_assert_eq(next.size(), 1);
+    cr_assert(rig.all<CloseLink>().empty());
+    rig.done(next.front());
+    cr_assert_eq(rig.toCaller<Answer>().size(), 1);
+    cr_assert_eq(rig.all<CloseLink>().size(), 1);
+}
+
+// A cut is explicit: the link closes at once, what runs ends as unknown, what waits as not run.
+Test(requestChange, cutEndsEverythingAtOnce)
+{
+    NodeRig rig;
+    cr_assert(rig.start(rig.ask(1, 30s)).has_value());
+    cr_assert(!rig.start(rig.ask(2, 30s)));
+    rig.target().state = TargetState::Cut;
+    rig.publish();
+    cr_assert_eq(rig.all<CloseLink>().size(), 1);
+    cr_assert_eq(rig.toCaller<OutcomeUnknown>().at(0).request.low, 1);
+    cr_assert_eq(rig.toCaller<NotRun>().at(0).request.low, 2);
+}
+
+// The address of a target serves another service by now, which the configuration on its way will
+// say. The target says so itself when asked, and gets nothing; when it says so later, it gets
+// nothing more.
+Test(requestChange, sendsNothingToATargetThatServesAnotherService)
+{
+    NodeRig rig{1, 2};
+    const TargetId id = rig.target().id;
+    const ServiceId other = serviceId("alexandria", "catalogue");
+    cr_assert(rig.start(rig.ask(1)).has_value());
+    const auto token = rig.reserve(rig.ask(2));
+    rig.fromLink(id, LinkHelloReply{other, {}});
+    rig.send(2, *token);
+    cr_assert(rig.onLinks<Dispatch>().empty());
+    cr_assert(!rig.reserve(rig.ask(3)));
+
+    NodeRig fresh{1, 2, {}, false};
+    fresh.handle(LinkOpened{fresh.target().id, Generation{5}});
+    cr_assert(!fresh.reserve(fresh.ask(1)));
+    fresh.fromLink(fresh.target().id, LinkHelloReply{other, {}});
+    cr_assert(!fresh.reserve(fresh.ask(1)));
+}
+
+// A target answers with the attempt of another target, as one that mixes up its connections may.
+Test(requestChange, takesAnAnswerOnlyFromTheTargetThatGotTheAttempt)
+{
+    NodeRig rig{2};
+    const auto dispatch = rig.start(rig.ask(1));
+    const bool isFirst = dispatch->first == rig.target("t0").id;
+    const TargetId other = rig.target(isFirst ? "t1" : "t0").id;
+    rig.done({other, dispatch->second});
+    cr_assert(rig.toCaller<Answer>().empty());
+    rig.handle(FromLink{dispatch->first, Generation{4},
+                        AttemptDone{dispatch->second.attempt, {}, "of an earlier generation"}});
+    cr_assert(rig.toCaller<Answer>().empty());
+    rig.done(*dispatch);
+    cr_assert_eq(rig.toCaller<Answer>().size(), 1);
+}
+
+// A planned stop: one request runs, one waits, one is reserved. All are answered, new ones are sent
+// to come back, the last answer can be asked for again, and only then is the stop complete.
+Test(requestChange, stopsOnceAllIsAnswered)
+{
+    NodeRig rig;
+    auto running = rig.start(rig.ask(1));
+    cr_assert(!rig.start(rig.ask(2)));
+    const auto third = rig.reserve(rig.ask(3));
+    rig.handle(StopRequested{});
+    cr_assert(!rig.reserve(rig.ask(4)));
+    cr_assert_eq(rig.toCaller<NotRun>().at(0).cause, RefusalCause::Stopping);
+    rig.send(3, *third);
+    for (int i = 0; i < 3; ++i) {
+        cr_assert(running.has_value() && rig.all<Stopped>().empty());
+        rig.done(*running);
+        cr_assert_eq(rig.toCaller<Answer>().size(), 1);
+        const auto next = rig.onLinks<Dispatch>();
+        running = next.empty() ? std::nullopt : std::optional{next.front()};
+    }
+    cr_assert(rig.all<Stopped>().empty());
+    rig.send(3, *third);
+    cr_assert_eq(rig.toCaller<Answer>().size(), 1);
+    rig.pass(2s);
+    cr_assert_eq(rig.all<Stopped>().size(), 1);
+    rig.pass(5s);
+    cr_assert(rig.all<Stopped>().empty());
+
+    NodeRig idle;
+    idle.handle(StopRequested{});
+    cr_assert_eq(idle.all<Stopped>().size(), 1);
+}
+
+// A target hangs: its connection stays open and hellos stay unanswered. The link is given up after
+// a few and tried again; what ran on it is unknown at that moment, not at its deadline.
+Test(requestChange, givesUpASilentLink)
+{
+    NodeRig rig;
+    cr_assert(rig.start(rig.ask(1, 60s)).has_value());
+    rig.hellosAnswered = false;
+    rig.pass(9s);
+    cr_assert_eq(rig.toCaller<OutcomeUnknown>().at(0).cause, UnknownCause::LinkBroken);
+    cr_assert_eq(rig.all<CloseLink>().size(), 1);
+    cr_assert(!rig.all<OpenLink>().empty());
+}
+
+// A retiring target is removed only when it has held nothing for a while, reported afresh, and
+// nothing is in progress; the proposal is repeated under one id, and not after the removal.
+Test(requestChange, proposesTheRemovalOfAnEmptyTarget)
+{
+    NodeRig rig;
+    const auto passWithReports = [&](Duration wait, const LoadReport &load) {
+        rig.load = load;
+        rig.pass(wait);
+        return rig.all<ProposeCommand>();
+    };
+    cr_assert(passWithReports(20s, {}).empty());
+    const auto running = rig.start(rig.ask(1, 60s));
+    rig.target().state = TargetState::Retiring;
+    rig.publish();
+    cr_assert(passWithReports(20s, {}).empty());
+    rig.done(*running);
+    cr_assert(passWithReports(20s, {0, 0, 1}).empty());
+    cr_assert(passWithReports(4s, {}).empty());
+    const auto proposals = passWithReports(60s, {});
+    cr_assert(proposals.size() >= 2 && proposals.size() <= 8, "%zu", proposals.size());
+    cr_assert(proposals.front().changeId == proposals.back().changeId);
+    const auto &remove = std::get<RemoveTarget>(proposals.front().command);
+    cr_assert(remove.target.target == "t0" && remove.generation == Generation{5});
+    rig.config.services[rig.service].targets.clear();
+    rig.publish();
+    cr_assert(passWithReports(60s, {}).empty());
+}
