--- a/src/core/config/config_log.cpp
+++ b/src/core/config/config_log.cpp
@@ -34,10 +34,6 @@
     if (auto *finding = std::get_if<Finding>(&decoded))
         return RecordBad{std::move(*finding)};
     ChangeRecord &record = std::get<ChangeRecord>(decoded);
-    if (record.revision != key)
-        return RecordBad{
-            {logKey(key), "names revision " + std::to_string(record.revision.value())}};
-
     ApplyResult applied = applyRecord(*m_config, record);
     if (!applied.findings.empty())
         return RecordBad{{logKey(key), toString(applied.findings.front())}};
--- a/src/core/control/watcher.cpp
+++ b/src/core/control/watcher.cpp
@@ -2,7 +2,6 @@
 
 #include "core/config/log_keys.h"
 #include "core/impl/hash.h"
-#include "core/membership/watchers.h"
 
 #include <algorithm>
 
@@ -44,9 +43,7 @@
 
 std::optional<std::size_t> Watcher::rank() const
 {
-    const View view = m_swim.view();
-    return watcherRank(view.domain, view.members, m_context.settings().watchersPerDomain,
-                       view.self);
+    return m_swim.watcherRank();
 }
 
 // Every daemon reads the log once for itself, unless its peers give it state first: a restarted
--- a/src/core/membership/member_table.cpp
+++ b/src/core/membership/member_table.cpp
@@ -91,6 +91,14 @@
     return result;
 }
 
+std::size_t MemberTable::presentCount() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_entries.begin(), m_entries.end(), [](const auto &item) {
+            return item.second.update.state != MemberState::Dead;
+        }));
+}
+
 Member toMember(const MemberUpdate &update)
 {
     return {update.daemon, update.incarnation, update.address, update.records,
--- a/src/core/membership/member_table.h
+++ b/src/core/membership/member_table.h
@@ -42,6 +42,7 @@
     /// \return Members that are not dead.
     [[nodiscard]] std::vector<const MemberEntry *> present() const;
     [[nodiscard]] std::vector<const MemberEntry *> dead() const;
+    [[nodiscard]] std::size_t presentCount() const;
 
 private:
     std::map<DaemonId, MemberEntry> m_entries;
--- a/src/core/membership/remote_members.cpp
+++ b/src/core/membership/remote_members.cpp
@@ -78,6 +78,9 @@
     Entry &entry = known->second;
     if (update.incarnation < entry.update.incarnation)
         return false;
+    // The VM list names no incarnation; learning it is no news.
+    if (entry.update.incarnation.isNull())
+        entry.update.incarnation = update.incarnation;
     const bool restarted = update.incarnation > entry.update.incarnation;
     if (!restarted) {
         entry.update.revision = std::max(entry.update.revision, update.revision);
@@ -140,6 +143,12 @@
     return known == m_entries.end() ? nullptr : &known->second.update;
 }
 
+const MemberUpdate *RemoteMembers::at(std::size_t index) const
+{
+    const auto entry = std::next(m_entries.begin(), static_cast<std::ptrdiff_t>(index));
+    return entry->second.update.state == MemberState::Dead ? nullptr : &entry->second.update;
+}
+
 std::vector<const MemberUpdate *> RemoteMembers::present() const
 {
     std::vector<const MemberUpdate *> result;
--- a/src/core/membership/remote_members.h
+++ b/src/core/membership/remote_members.h
@@ -32,6 +32,10 @@
 
     [[nodiscard]] const MemberUpdate *find(DaemonId id) const;
     [[nodiscard]] std::vector<const MemberUpdate *> present() const;
+    [[nodiscard]] std::size_t size() const noexcept { return m_entries.size(); }
+    [[nodiscard]] bool empty() const noexcept { return m_entries.empty(); }
+    /// \return The entry at \a index in the order of ids, or null where it is dead.
+    [[nodiscard]] const MemberUpdate *at(std::size_t index) const;
     [[nodiscard]] std::map<std::string, std::vector<Member>> byDomain() const;
     /// \return Whether anything but a revision changed since the last call.
     [[nodiscard]] bool takeChanged() noexcept;
--- a/src/core/membership/swim.cpp
+++ b/src/core/membership/swim.cpp
@@ -10,6 +10,8 @@
 constexpr std::uint64_t LostPingTicks = 5; ///< A member believed dead is pinged this seldom.
 constexpr std::uint64_t SeedPingTicks = 5;
 constexpr std::uint64_t SeldomSeedPingTicks = 30;
+constexpr std::uint64_t SeedPingsPerTick = 2; ///< By all daemons of a domain together.
+constexpr int PingsBeforeRemoval = 2;
 constexpr std::size_t LeavePings = 8;
 constexpr std::uint32_t CandidateTries = 3;
 constexpr std::uint64_t CandidateRetryTicks = 10;
@@ -59,8 +61,10 @@
 {
     if (!hasPeers())
         return true;
-    const std::uint64_t every = m_remote.present().empty() ? SeedPingTicks : SeldomSeedPingTicks;
-    return m_ticks % every == 0;
+    const std::uint64_t ticks = m_remote.empty() ? SeedPingTicks : SeldomSeedPingTicks;
+    // There are a few seeds for all daemons: the larger the domain, the less often each one asks.
+    const std::uint64_t every = std::max<std::uint64_t>(ticks, memberCount() / SeedPingsPerTick);
+    return m_ticks % every == m_self.daemon.value() % every;
 }
 
 // A shuffled round reaches every member within a bounded number of periods, which picking at
@@ -194,8 +198,22 @@
 
 void Swim::scheduleRemoval(const MemberEntry &entry)
 {
+    const DaemonId id = entry.update.daemon;
     const Duration wait = std::max(entry.suspectUntil - m_context.now(), Duration{0});
-    m_context.after(wait, [this, id = entry.update.daemon] { removeIfStillSuspect(id); });
+    for (int ping = 1; ping <= PingsBeforeRemoval; ++ping) {
+        const Duration before = wait - ping * m_context.settings().pingPeriod;
+        if (before > Duration{0})
+            m_context.after(before, [this, id] { pingBeforeRemoval(id); });
+    }
+    m_context.after(wait, [this, id] { removeIfStillSuspect(id); });
+}
+
+// A refutation may have missed this daemon alone: it asks for itself before it removes.
+void Swim::pingBeforeRemoval(DaemonId id)
+{
+    const MemberEntry *entry = m_table.find(id);
+    if (entry && entry->update.state == MemberState::Suspect)
+        pingMember(entry->update);
 }
 
 void Swim::removeIfStillSuspect(DaemonId id)
--- a/src/core/membership/swim.h
+++ b/src/core/membership/swim.h
@@ -45,6 +45,8 @@
     /// \return Whether anything but revisions changed since the last call.
     [[nodiscard]] bool takeChanged();
     [[nodiscard]] std::vector<MemberUpdate> statusMembers() const;
+    /// \return Place of this daemon among the watchers of its domain, or nothing.
+    [[nodiscard]] std::optional<std::size_t> watcherRank() const;
     [[nodiscard]] bool hasPeers() const;
     [[nodiscard]] std::size_t memberCount() const;
     [[nodiscard]] bool isLeaving() const noexcept { return m_self.state == MemberState::Leaving; }
@@ -84,6 +86,7 @@
     void onPingFailed(std::uint64_t sequence);
     void suspect(MemberEntry &entry, TimePoint since);
     void scheduleRemoval(const MemberEntry &entry);
+    void pingBeforeRemoval(DaemonId id);
     void removeIfStillSuspect(DaemonId id);
 
     void on(const Ping &ping, const PeerDatagram &datagram, const Endpoint &from);
--- a/src/core/membership/swim_news.cpp
+++ b/src/core/membership/swim_news.cpp
@@ -2,6 +2,8 @@
 
 #include "core/membership/swim.h"
 
+#include "core/membership/watchers.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -168,13 +170,18 @@
 // Rumors can miss a daemon. One entry at random on each ping makes views equal again in time.
 void Swim::addFill(std::vector<MemberUpdate> &updates)
 {
-    const std::vector<const MemberEntry *> members = m_table.present();
-    const std::vector<const MemberUpdate *> remote = m_remote.present();
-    if (members.empty() && remote.empty())
+    const std::map<DaemonId, MemberEntry> &members = m_table.entries();
+    const std::size_t count = members.size() + m_remote.size();
+    if (count == 0)
         return;
-    const std::size_t index = m_context.pick(members.size() + remote.size());
-    updates.push_back(index < members.size() ? members[index]->update
-                                             : *remote[index - members.size()]);
+    const std::size_t index = m_context.pick(count);
+    const MemberUpdate *update = nullptr;
+    if (index < members.size())
+        update = &std::next(members.begin(), static_cast<std::ptrdiff_t>(index))->second.update;
+    else
+        update = m_remote.at(index - members.size());
+    if (update && update->state != MemberState::Dead)
+        updates.push_back(*update);
 }
 
 const MemberUpdate *Swim::lookUp(DaemonId id)
@@ -204,6 +211,17 @@
     return std::exchange(m_changed, false) || remoteChanged;
 }
 
+std::optional<std::size_t> Swim::watcherRank() const
+{
+    std::vector<Member> members{toMember(m_self)};
+    for (const auto &[id, entry] : m_table.entries()) {
+        if (entry.update.state != MemberState::Dead)
+            members.push_back(toMember(entry.update));
+    }
+    return baobabtrail::watcherRank(m_self.domain, members, m_context.settings().watchersPerDomain,
+                                    m_self.daemon);
+}
+
 std::vector<MemberUpdate> Swim::statusMembers() const
 {
     std::vector<MemberUpdate> members{m_self};
@@ -219,7 +237,7 @@
 
 std::size_t Swim::memberCount() const
 {
-    return m_table.present().size() + 1;
+    return m_table.presentCount() + 1;
 }
 
 std::vector<const MemberUpdate *> Swim::peers() const
