--- a/bench/control.cpp
+++ b/bench/control.cpp
@@ -1,6 +1,9 @@
 // Costs and delays of the control side as functions of the number of daemons and of changes, in
 // virtual time: platform calls and bytes are exact, delays follow from the latencies of the fake.
 
+#include "core/config/apply.h"
+#include "core/config/record_codec.h"
+#include "core/config/snapshot.h"
 #include "tests/support/change_builder.h"
 #include "tests/support/fake_control_net.h"
 #include "wire/codec.h"
@@ -39,6 +42,7 @@
 {
     std::size_t domains;
     std::size_t perDomain;
+    std::size_t watchers = ControlSettings{}.watchersPerDomain; ///< Daemons of a domain that call.
 };
 
 [[nodiscard]] KeyRing keys()
@@ -171,7 +175,9 @@
 
 void measure(const Size &size)
 {
-    FakeControlNet net{FLAGS_seed};
+    ControlSettings settings;
+    settings.watchersPerDomain = size.watchers;
+    FakeControlNet net{FLAGS_seed, settings};
     for (std::size_t domain = 0; domain < size.domains; ++domain) {
         for (std::size_t i = 0; i < size.perDomain; ++i)
             net.add("domain-" + std::to_string(domain));
@@ -231,29 +237,102 @@
     });
 
     std::cout << std::fixed << std::setprecision(1) << "| " << size.domains << " × "
-              << size.perDomain << " | " << quietCalls << " | " << callsPerChange << " | "
-              << startCallsOfEach << " | " << acc::mean(quietBytes) << " / " << acc::max(quietBytes)
-              << " | " << (acc::mean(changeBytes) - acc::mean(quietBytes)) * changeSeconds / Changes
-              << " / " << (acc::max(changeBytes) - acc::max(quietBytes)) * changeSeconds / Changes
-              << " | " << inForce.median() << " / " << inForce.largest() << " | "
-              << detected.largest() << " | " << perEvent / 1000 << " | " << std::setprecision(3)
-              << cpu * 100 << " | " << std::setprecision(0) << heap << " |\n"
+              << size.perDomain << ", " << size.watchers << " | " << quietCalls << " | "
+              << callsPerChange << " | " << startCallsOfEach << " | " << acc::mean(quietBytes)
+              << " / " << acc::max(quietBytes) << " | "
+              << (acc::mean(changeBytes) - acc::mean(quietBytes)) * changeSeconds / Changes << " / "
+              << (acc::max(changeBytes) - acc::max(quietBytes)) * changeSeconds / Changes << " | "
+              << inForce.median() << " / " << inForce.largest() << " | " << detected.largest()
+              << " | " << perEvent / 1000 << " | " << std::setprecision(3) << cpu * 100 << " | "
+              << std::setprecision(0) << heap << " |\n"
               << std::flush;
 }
 
+[[nodiscard]] Config designSize()
+{
+    constexpr std::size_t Services = 2000;
+    constexpr std::size_t Targets = 4400;
+    Config config;
+    config.revision = Revision{1};
+    config.tenants["alexandria"] = {"alexandria", std::string(64, 'a')};
+    for (std::size_t i = 0; i < Services; ++i) {
+        const std::string name = "service-" + std::to_string(i);
+        const ServiceId id = serviceId("alexandria", name);
+        config.services[id] = {id, "alexandria", name, {}, {}};
+    }
+    for (std::size_t i = 0; i < Targets; ++i) {
+        TargetConfig target;
+        const ServiceId service
+            = serviceId("alexandria", "service-" + std::to_string(i % Services));
+        target.name = "vm-" + std::to_string(i);
+        target.id = targetId(service, target.name);
+        target.generation = Generation{1};
+        target.domain = "alx-raml";
+        target.flows = {0x0a000000 + static_cast<std::uint32_t>(i), 9000};
+        target.requests = {0x0a000000 + static_cast<std::uint32_t>(i), 9001};
+        target.stateSince = Revision{1};
+        config.services[service].targets[target.id] = target;
+    }
+    return config;
+}
+
+template <typename Work>
+[[nodiscard]] double millisecondsOf(Work work)
+{
+    constexpr int Rounds = 20;
+    const auto begin = std::chrono::steady_clock::now();
+    for (int i = 0; i < Rounds; ++i)
+        work();
+    const std::chrono::duration<double, std::milli> spent
+        = std::chrono::steady_clock::now() - begin;
+    return spent.count() / Rounds;
+}
+
+/// \brief Sizes and times of the configuration at the design size: 2,000 services, 4,400 targets.
+void measureState()
+{
+    const std::size_t before = mallinfo2().uordblks;
+    const Config config = designSize();
+    const std::size_t heap = mallinfo2().uordblks - before;
+    const TargetName name{{"alexandria", "service-7"}, "vm-7"};
+    ChangeRecord record = change("c-1", {DrainTarget{name}});
+    record.revision = Revision{2};
+    const Snapshot snapshot{config, {}};
+    const std::vector<std::string> shards = encodeSnapshot(snapshot);
+    std::size_t shardBytes = 0;
+    for (const std::string &shard : shards)
+        shardBytes += shard.size();
+
+    const double apply = millisecondsOf([&] { (void)applyRecord(config, record); });
+    const double encode = millisecondsOf([&] { (void)encodeSnapshot(snapshot); });
+    const double decode = millisecondsOf([&] { (void)decodeSnapshot(shards); });
+    const Endpoint peer{0x0a000001, 7000};
+    const MemberUpdate own{DaemonId{1}, Incarnation{1}, 0,          MemberState::Alive,
+                           peer,        peer,           "alx-raml", Revision{1000}};
+    const PeerDatagram ping{DaemonId{1}, Incarnation{1}, Ping{1, {own}, 1s}};
+    std::cout
+        << "\n| record of one drain, bytes | snapshot, bytes | shards | heap, KiB | apply, ms | "
+           "encode, ms | decode, ms | ping of one update, bytes with headers |\n"
+           "|---|---|---|---|---|---|---|---|\n| "
+        << encodeRecord(record).size() << " | " << shardBytes << " | " << shards.size() << " | "
+        << heap / 1024 << std::setprecision(2) << " | " << apply << " | " << encode << " | "
+        << decode << " | " << wire::encode(ping, keys()).size() + DatagramHeaderBytes << " |\n";
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     std::cout
-        << "| domains × daemons | calls/s, quiet | calls per change | calls per start | "
+        << "| domains × daemons, watchers | calls/s, quiet | calls per change | calls per start | "
            "bytes/s sent, mean / max | bytes sent per change, mean / max | "
            "in force, ms, median / max | death seen by all, ms | µs per event | % of a core | "
            "KiB per daemon |\n|---|---|---|---|---|---|---|---|---|---|---|\n";
-    for (const Size &size :
-         {Size{3, 3}, Size{3, 8}, Size{3, 20}, Size{1, 60}, Size{1, 105}, Size{6, 105}}) {
+    for (const Size &size : {Size{3, 3}, Size{3, 8}, Size{3, 20}, Size{3, 20, 20}, Size{1, 60},
+                             Size{1, 105}, Size{6, 105}}) {
         if (size.domains * size.perDomain <= FLAGS_largest)
             measure(size);
     }
+    measureState();
 }
--- a/tests/control/distribute_test.cpp
+++ b/tests/control/distribute_test.cpp
@@ -66,6 +66,11 @@
                              return std::holds_alternative<RevisionNotice>(message);
                          };
                      }});
+    cells.push_back({"watches silent and no peer reachable", [&](Cluster &net) {
+                         platformFault(CallKind::Watch, WatchSilent)(net);
+                         net.drop
+                             = [](std::size_t, std::size_t, const PeerMessage &) { return true; };
+                     }});
     cells.push_back({"no peer reachable", [](Cluster &net) {
                          net.drop
                              = [](std::size_t, std::size_t, const PeerMessage &) { return true; };
