--- a/tests/membership/swim_test.cpp
+++ b/tests/membership/swim_test.cpp
@@ -138,8 +138,9 @@
         cr_assert(net.allSee(4, std::nullopt));
         cr_assert(net.node(4).view()->members.size() == 1);
         net.healAll();
-        cr_assert(net.runUntil([&] { return net.allSee(4, MemberState::Alive); }, 40s));
-        cr_assert(net.runUntil([&] { return net.node(4).view()->members.size() == left; }, 40s));
+        const Duration limit = gone == 2 ? 40s : 20s;
+        cr_assert(net.runUntil([&] { return net.allSee(4, MemberState::Alive); }, limit));
+        cr_assert(net.runUntil([&] { return net.node(4).view()->members.size() == left; }, limit));
     }
 }
 
