Explain where a flow or request goes

An operator reads out a token and learns whether it is genuine, which target or owner it names, and what this daemon does with it. Whether a flow's target was cut is now decided in one place, for the router and for the explanation.

--- a/src/core/flows/flow_router.cpp
+++ b/src/core/flows/flow_router.cpp
@@ -1,5 +1,7 @@
 #include "core/flows/flow_router.h"
 
+#include "core/flows/token_route.h"
+
 #include <algorithm>
 #include <type_traits>
 #include <utility>
@@ -127,7 +129,7 @@
 {
     if (!tokenHolds(message.flow, message.token, caller, turn))
         return;
-    if (wasCut(message.token)) {
+    if (wasCut(*m_context.config, message.token)) {
         reset(caller, message.flow, message.token.service, ResetCause::TargetCut, Duration{0},
               turn);
         return;
@@ -147,7 +149,7 @@
         return;
     const std::optional<Duration> delay = m_context.targets.reopenDelay(
         message.token.target, message.unanswered, turn.now, m_context.random);
-    if (!delay || wasCut(message.token)) {
+    if (!delay || wasCut(*m_context.config, message.token)) {
         forward(caller, message, turn);
         return;
     }
@@ -213,7 +215,7 @@
     if (std::holds_alternative<OpenFlow>(datagram.body)
         || std::holds_alternative<KeepAlive>(datagram.body))
         return;
-    if (wasCut(token)) {
+    if (wasCut(*m_context.config, token)) {
         reset(datagram.caller, flowOf(datagram.body), token.service, ResetCause::TargetCut,
               Duration{0}, turn);
         return;
@@ -240,17 +242,6 @@
     return false;
 }
 
-// A flow whose target was cut would go on into an address that may serve another service soon. A
-// configuration older than the token can't tell a cut target from one it hasn't heard of yet; the
-// target itself then refuses a service or generation that is not its own.
-bool FlowRouter::wasCut(const FlowToken &token) const noexcept
-{
-    const TargetConfig *target = m_context.config->target(token.service, token.target);
-    if (target && target->generation == token.generation)
-        return target->state == TargetState::Cut;
-    return m_context.config->revision >= token.revision;
-}
-
 void FlowRouter::reset(const Endpoint &caller, FlowId flow, ServiceId service, ResetCause cause,
                        Duration reopenAfter, Turn &turn)
 {
--- a/src/core/flows/flow_router.h
+++ b/src/core/flows/flow_router.h
@@ -44,7 +44,6 @@
 
     [[nodiscard]] bool tokenHolds(FlowId flow, const FlowToken &token, const Endpoint &caller,
                                   Turn &turn);
-    [[nodiscard]] bool wasCut(const FlowToken &token) const noexcept;
     void reset(const Endpoint &caller, FlowId flow, ServiceId service, ResetCause cause,
                Duration reopenAfter, Turn &turn);
 
--- a/src/daemon/daemon_ports.cpp
+++ b/src/daemon/daemon_ports.cpp
@@ -3,6 +3,7 @@
 #include "daemon/admin/domain_status.h"
 #include "daemon/clock.h"
 #include "daemon/daemon.h"
+#include "wire/token_text.h"
 
 #include <boost/asio/post.hpp>
 
@@ -122,6 +123,14 @@
     result.after = [this](Duration delay, std::function<void()> call) {
         runtime().after(delay, std::move(call));
     };
+    result.readFlowToken = [](const std::string &bytes) { return wire::decodeFlowToken(bytes); };
+    result.readReservation
+        = [](const std::string &bytes) { return wire::decodeReservation(bytes); };
+    result.checkFlowToken
+        = [this](FlowId flow, const FlowToken &token) { return m_keys->checkFlow(flow, token); };
+    result.checkReservation = [this](const RequestId &request, const ReservationToken &token) {
+        return m_keys->checkReservation(request, token);
+    };
     result.unixSeconds = [] { return wallNow().time_since_epoch().count(); };
     return result;
 }
--- a/src/language/backend.h
+++ b/src/language/backend.h
@@ -6,6 +6,7 @@
 #include "core/membership/view.h"
 #include "core/messages/records.h"
 #include "core/targets/target_status.h"
+#include "core/tokens.h"
 
 #include <functional>
 #include <optional>
@@ -31,6 +32,11 @@
     std::function<std::string()> metrics;
     /// Calls back after a delay; used by "wait".
     std::function<void(Duration, std::function<void()>)> after;
+    /// Reads a token from its bytes on the wire; nothing where they are none.
+    std::function<std::optional<FlowToken>(const std::string &)> readFlowToken;
+    std::function<std::optional<ReservationToken>(const std::string &)> readReservation;
+    std::function<TokenError(FlowId, const FlowToken &)> checkFlowToken;
+    std::function<TokenError(const RequestId &, const ReservationToken &)> checkReservation;
     /// Seconds since 1970, for the times that records carry.
     std::function<std::int64_t()> unixSeconds;
 };
--- a/src/language/execute.cpp
+++ b/src/language/execute.cpp
@@ -1,3 +1,4 @@
+#include "language/impl/explain.h"
 #include "language/impl/queries.h"
 #include "language/impl/wait.h"
 #include "language/parse.h"
@@ -46,6 +47,16 @@
         m_done(Result{Status::Done, {m_backend.metrics()}, {}, {}});
     }
 
+    void operator()(const ExplainFlow &statement) const
+    {
+        m_done(impl::explain(m_backend, m_request.caller, statement));
+    }
+
+    void operator()(const ExplainRequest &statement) const
+    {
+        m_done(impl::explain(m_backend, m_request.caller, statement));
+    }
+
     void operator()(const Help &) const
     {
         m_done(Result{Status::Done, {std::string(helpText())}, {}, {}});
--- a/src/language/parse.cpp
+++ b/src/language/parse.cpp
@@ -255,11 +255,28 @@
 const x3::rule<struct WaitObjectRule, Statement> WaitObject{"for revision NUMBER or for change ID"};
 const auto WaitObject_def = (keyword("for") > WaitSubject > WaitTimeout)[MakeOfTwo<Wait>];
 
+const x3::rule<struct HexadecimalRule, std::string> Hexadecimal{"hexadecimal digits"};
+const auto Hexadecimal_def = x3::lexeme[+x3::xdigit >> !WordLetter];
+const x3::rule<struct FlowNumberRule, FlowId> FlowNumber{"a flow id"};
+const auto FlowNumber_def = x3::lexeme[x3::uint64 >> !WordLetter][Make<FlowId>];
+const x3::uint_parser<std::uint64_t, 16, 16, 16> HalfRequestId;
+const x3::rule<struct RequestNumberRule, RequestId> RequestNumber{
+    "a request id of 32 hexadecimal digits"};
+const auto RequestNumber_def
+    = x3::lexeme[HalfRequestId >> HalfRequestId >> !WordLetter][MakeOfTwo<RequestId>];
+const x3::rule<struct ExplainObjectRule, Statement> ExplainObject{
+    "flow ID TOKEN or request ID TOKEN"};
+const auto ExplainObject_def
+    = (keyword("flow") > FlowNumber > Hexadecimal)[MakeOfTwo<ExplainFlow>]
+      | (keyword("request") > RequestNumber > Hexadecimal)[MakeOfTwo<ExplainRequest>];
+
 const x3::rule<struct OneStatementRule, Statement> OneStatement{
-    "show, wait, help or a command: declare, add, drain, undrain, retire, cut, move, set or "
+    "show, wait, explain, help or a command: declare, add, drain, undrain, retire, cut, move, set "
+    "or "
     "rotate"};
 const auto OneStatement_def = (keyword("show") > ShowObject)[Assign]
                               | (keyword("wait") > WaitObject)[Assign]
+                              | (keyword("explain") > ExplainObject)[Assign]
                               | keyword("help")[MakeEmpty<Help>] | Commands[Make<Change>];
 
 const x3::rule<struct RootRule, Statement> Root{"a statement"};
@@ -270,8 +287,8 @@
                     CompleteTargetSettings, DeclareTenantRule, DeclareServiceRule, Declare,
                     SetLimitsRule, SetWeightRule, Set, TargetObject, Add, Move, Epoch, Rotate,
                     OneCommand, Commands, Column, OneFilter, FilterList, Filters, TableWord,
-                    ShowObject, RevisionNumber, WaitSubject, WaitTimeout, WaitObject, OneStatement,
-                    Root)
+                    ShowObject, RevisionNumber, WaitSubject, WaitTimeout, WaitObject, Hexadecimal,
+                    FlowNumber, RequestNumber, ExplainObject, OneStatement, Root)
 // NOLINTEND(readability-identifier-naming)
 
 [[nodiscard]] SyntaxError errorAt(std::string_view text, Iterator where, std::string expected)
@@ -317,6 +334,8 @@
   show metrics
   wait for revision NUMBER [timeout 30s]
   wait for change ID [timeout 30s]
+  explain flow ID TOKEN    where a flow's datagrams go, and why
+  explain request ID TOKEN which daemon owns a request
 Commands; several joined by ';' come into force together or not at all:
   declare tenant NAME key-hash HEX
   declare service TENANT/SERVICE [queue N] [share N] [retries PERCENT]
--- a/src/language/statement.h
+++ b/src/language/statement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/config/change.h"
+#include "core/ids.h"
 #include "core/time.h"
 
 #include <string>
@@ -48,11 +49,24 @@
     std::variant<Revision, std::string> subject;
     Duration timeout = DefaultWait;
 };
+/// \brief Where the datagrams of a flow go, and why.
+struct ExplainFlow
+{
+    FlowId flow;
+    std::string token; ///< Hexadecimal, as the caller got it.
+};
+/// \brief Which daemon owns a request, and whether it still can be in progress.
+struct ExplainRequest
+{
+    RequestId request;
+    std::string token; ///< Hexadecimal, as the caller got it.
+};
 struct Help
 {
 };
 
-using Statement = std::variant<Show, ShowRevision, ShowChange, ShowMetrics, Change, Wait, Help>;
+using Statement = std::variant<Show, ShowRevision, ShowChange, ShowMetrics, Change, Wait,
+                               ExplainFlow, ExplainRequest, Help>;
 
 /// \brief A statement that can't be understood, and where.
 struct SyntaxError
--- a/tests/language/execute_test.cpp
+++ b/tests/language/execute_test.cpp
@@ -19,6 +19,8 @@
     ProposalOutcome outcome = ProposalAccepted{Revision{4}, false};
     Propose proposed;
     std::int64_t now = 1000;
+    std::optional<FlowToken> token;
+    TokenError tokenError = TokenError::None;
 
     FakeBackend()
     {
@@ -60,6 +62,8 @@
             ++now;
             then();
         };
+        made.readFlowToken = [this](const std::string &) { return token; };
+        made.checkFlowToken = [this](FlowId, const FlowToken &) { return tokenError; };
         made.unixSeconds = [this] { return now; };
         return made;
     }
@@ -151,6 +155,28 @@
     cr_assert(result.messages.back().find("alx-agami did not answer") != std::string::npos);
 }
 
+// A tablet's driver reports a dead feed and reads its token out to the operator.
+// The answer tells whether the token is good, which target it names and where its datagrams go.
+Test(execute, explainsWhereAFlowGoes)
+{
+    FakeBackend fake;
+    const ServiceId lending = serviceId("alexandria", "lending");
+    const TargetId target = targetId(lending, "t1");
+    const Generation generation{5};
+    fake.config->services[lending].targets[target].generation = generation;
+    fake.token = FlowToken{lending, target, generation, *parseEndpoint("10.0.0.1:80"), {}, {}, {}};
+    const auto explained
+        = [&fake](const char *tenant) { return fake.run("explain flow 42 00", tenant); };
+    cr_assert(explained("").messages.back() == "its datagrams go to 10.0.0.1:80");
+    cr_assert(explained("vitilevu").status == Status::Refused);
+    fake.config->services[lending].targets[target].state = TargetState::Cut;
+    cr_assert(explained("").messages.back().ends_with("the target was cut"));
+    fake.tokenError = TokenError::BadMac;
+    cr_assert(explained("").status == Status::Refused);
+    fake.token.reset();
+    cr_assert(explained("").status == Status::Refused);
+}
+
 Test(execute, changeFateCountsDaemons)
 {
     FakeBackend fake;
--- a/tests/language/parse_test.cpp
+++ b/tests/language/parse_test.cpp
@@ -74,6 +74,9 @@
     parsed<ShowRevision>("show revision");
     parsed<ShowMetrics>("show metrics");
     parsed<Help>("help");
+    cr_assert(parsed<ExplainFlow>("explain flow 42 0aff").token == "0aff");
+    cr_assert(parsed<ExplainRequest>("explain request 00000000000000010000000000000002 0a").request
+              == (RequestId{1, 2}));
     cr_assert(parsed<ShowChange>("show change 'x 1'").changeId == "x 1");
     const auto show = parsed<Show>("show targets where service = a/b and state != active");
     cr_assert(show.table == Table::Targets);
@@ -105,8 +108,9 @@
          "found '1.2.3.4'"},
         {"set weight a/b/c", "column 17: expected a whole number, found the end"},
         {"show revision now", "column 15: expected the end of the statement, found 'now'"},
-        {"", "column 1: expected show, wait, help or a command: declare, add, drain, undrain, "
-             "retire, cut, move, set or rotate, found the end"},
+        {"",
+         "column 1: expected show, wait, explain, help or a command: declare, add, drain, undrain, "
+         "retire, cut, move, set or rotate, found the end"},
     };
     for (const Case &each : cases) {
         const std::string error = errorOf(each.text);
