--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -1,6 +1,7 @@
 #include "core/access_key.h"
 #include "ctl/admin_client.h"
 #include "ctl/session.h"
+#include "ctl/top.h"
 
 #include <gflags/gflags.h>
 #include <sodium.h>
@@ -9,6 +10,7 @@
 #include <fstream>
 #include <iostream>
 #include <sstream>
+#include <thread>
 
 #include <unistd.h>
 
@@ -21,6 +23,8 @@
 DEFINE_bool(json, false, "print results as JSON");
 DEFINE_bool(keep_going, false, "let a script go on after a statement that failed");
 DEFINE_int32(timeout_seconds, 40, "longest wait for one daemon, in seconds");
+DEFINE_int32(refresh_seconds, 2, "time between two screens of top, in seconds");
+DEFINE_int32(rounds, 0, "screens of top before it ends; 0 for no end");
 DEFINE_bool(hash_key, false, "print the hash of the key in --key_file and end");
 
 namespace {
@@ -33,6 +37,7 @@
 
   baobabctl [flags] STATEMENT        one statement from the arguments
   baobabctl [flags] < SCRIPT         one statement on each line
+  baobabctl [flags] top              a screen of one daemon that refreshes
   baobabctl --hash_key --key_file F  the hash that declares a tenant's key
 
 Examples:
@@ -104,6 +109,23 @@
     return statement;
 }
 
+/// \brief Shows one screen after the other, until --rounds are over or no daemon answers.
+[[nodiscard]] Status runTop(const Session::Execute &execute)
+{
+    constexpr const char *clearScreen = "\033[H\033[2J";
+    for (int round = 0; FLAGS_rounds == 0 || round < FLAGS_rounds; ++round) {
+        if (round > 0)
+            std::this_thread::sleep_for(std::chrono::seconds{FLAGS_refresh_seconds});
+        const std::optional<std::string> screen = topScreen(execute);
+        if (!screen)
+            return Status::Unreachable;
+        if (isatty(STDOUT_FILENO) != 0)
+            std::cout << clearScreen;
+        std::cout << *screen << std::flush;
+    }
+    return Status::Done;
+}
+
 [[nodiscard]] Status run(const std::string &statement)
 {
     if (FLAGS_hash_key) {
@@ -119,6 +141,8 @@
             std::cerr << failure << '\n';
         return reply;
     };
+    if (statement == "top")
+        return runTop(execute);
     Session session(sessionOptions(), execute, randomChangeId, std::cout, std::cerr);
     if (!statement.empty())
         return session.run(statement);
--- a/tests/ctl/session_test.cpp
+++ b/tests/ctl/session_test.cpp
@@ -1,5 +1,6 @@
 #include "ctl/render.h"
 #include "ctl/session.h"
+#include "ctl/top.h"
 
 #include <sstream>
 
@@ -75,3 +76,25 @@
         cr_expect(daemon.calls.front().changeId == "night-3");
     }
 }
+
+Test(top, showsTheBusiestTargetsAndNothingFromADaemonThatIsGone)
+{
+    const auto execute = [](const Call &call) -> std::optional<Reply> {
+        if (call.text == "show metrics")
+            return Reply{200, language::toJson(Result{Status::Done,
+                                                      {"# HELP x\nbaobabtrail_config_revision 7\n"
+                                                       "baobabtrail_links 3\n"},
+                                                      {},
+                                                      {}})};
+        if (call.text == "show drains")
+            return Reply{200, language::toJson(Result{})};
+        return Reply{200, language::toJson(Result{Status::Done,
+                                                  {},
+                                                  {"target", "running"},
+                                                  {{"t1", "-"}, {"t2", "1"}, {"t3", "12"}}})};
+    };
+    cr_assert(topScreen(execute)
+              == "config_revision 7\n\ntargets:\ntarget  running\nt3      12\nt2      1\n"
+                 "t1      -\n");
+    cr_assert(!topScreen([](const Call &) { return std::optional<Reply>{}; }));
+}
