--- a/bench/decisions.cpp
+++ b/bench/decisions.cpp
@@ -1,5 +1,5 @@
 // Cost of the core's decisions: nanoseconds for each event through a TrafficNode, and for the check
-// of a token, the question for the next timer included. In processor time, best and median of
+// of a token, the question for the next timer included. Best and median of
 // several rounds, so that the noise of a shared machine shows.
 
 #include "core/traffic/traffic_node.h"
@@ -7,9 +7,9 @@
 #include <gflags/gflags.h>
 
 #include <algorithm>
+#include <chrono>
 #include <cstdio>
 #include <cstdlib>
-#include <ctime>
 #include <functional>
 #include <utility>
 #include <vector>
@@ -77,9 +77,29 @@
         measure("OpenFlow + AcceptFlow", [this](std::uint64_t i) { (void)openFlow(1000 + i); });
     }
 
+    /// A batch of requests passes each of the three decisions together, so that each is measured.
     void request()
     {
-        measure("Reserve + RequestData + AttemptDone", [this](std::uint64_t i) { runRequest(i); });
+        constexpr std::uint32_t batch = TargetCount;
+        std::vector<double> reserve;
+        std::vector<double> data;
+        std::vector<double> done;
+        for (std::uint32_t i = 0; i < FLAGS_rounds * FLAGS_events / batch; ++i) {
+            m_now += 5ms;
+            std::vector<ReservationToken> tokens;
+            std::vector<SendOnLink> dispatches;
+            reserve.push_back(timed(batch, [&] { tokens.push_back(this->reserve()); }));
+            std::size_t next = 0;
+            data.push_back(timed(batch, [&] {
+                dispatches.push_back(send(tokens[next], m_nextRequest - batch + next));
+                ++next;
+            }));
+            next = 0;
+            done.push_back(timed(batch, [&] { finish(dispatches[next++]); }));
+        }
+        print("Reserve", reserve);
+        print("RequestData", data);
+        print("AttemptDone", done);
     }
 
     void tokenCheck()
@@ -143,36 +163,56 @@
         handle(FromCaller{Caller, FlowMessage{FlowData{FlowId{1}, m_token, std::string(64, 'x')}}});
     }
 
-    void runRequest(std::uint64_t i)
+    [[nodiscard]] ReservationToken reserve()
     {
-        m_now += 200us;
-        const RequestId id{m_nextRequest++, i};
         Reserve reserve;
-        reserve.request = id;
+        reserve.request = RequestId{m_nextRequest++, 1};
         reserve.service = m_service;
         reserve.timeLeft = 500ms;
         handle(FromCaller{Caller, RequestMessage{reserve}});
         const auto &reply = std::get<RequestMessage>(action<SendToCaller>().message);
-        const ReservationToken token = std::get<Reserved>(reply).token;
-        handle(FromCaller{Caller, RequestMessage{RequestData{id, token, "swap"}}});
-        const SendOnLink sent = action<SendOnLink>();
+        return std::get<Reserved>(reply).token;
+    }
+
+    [[nodiscard]] SendOnLink send(const ReservationToken &token, std::uint64_t id)
+    {
+        handle(FromCaller{Caller, RequestMessage{RequestData{RequestId{id, 1}, token, "swap"}}});
+        return action<SendOnLink>();
+    }
+
+    void finish(const SendOnLink &sent)
+    {
         const AttemptId attempt = std::get<Dispatch>(sent.message).attempt;
         handle(FromLink{sent.target, TargetGeneration, AttemptDone{attempt, {}, "done"}});
     }
 
+    /// \return Nanoseconds for each of \a count calls.
+    template <typename Call>
+    [[nodiscard]] static double timed(std::uint32_t count, const Call &call)
+    {
+        const auto start = std::chrono::steady_clock::now();
+        for (std::uint32_t i = 0; i < count; ++i)
+            call();
+        const std::chrono::duration<double, std::nano> took
+            = std::chrono::steady_clock::now() - start;
+        return took.count() / count;
+    }
+
+    static void print(const char *what, std::vector<double> &samples)
+    {
+        std::sort(samples.begin(), samples.end());
+        std::printf("%-24s best %7.0f ns   median %7.0f ns\n", what, samples.front(),
+                    samples[samples.size() / 2]);
+    }
+
     static void measure(const char *what, const std::function<void(std::uint64_t)> &event)
     {
         std::vector<double> rounds;
         for (std::uint32_t round = 0; round < FLAGS_rounds; ++round) {
-            const std::clock_t start = std::clock();
-            for (std::uint32_t i = 0; i < FLAGS_events; ++i)
-                event(std::uint64_t{round} * FLAGS_events + i);
-            const auto ticks = static_cast<double>(std::clock() - start);
-            rounds.push_back(ticks / CLOCKS_PER_SEC * 1e9 / FLAGS_events);
+            std::uint64_t i = std::uint64_t{round} * FLAGS_events;
+            rounds.push_back(timed(FLAGS_events, [&] { event(i++); }));
         }
-        std::sort(rounds.begin(), rounds.end());
-        std::printf("%-38s best %7.0f ns   median %7.0f ns\n", what, rounds.front(),
-                    rounds[rounds.size() / 2]);
+        print(what, rounds);
     }
 
     std::shared_ptr<KeyRing> m_keys;
