Let some requests of the matrix wait for long at a slow or draining target

Tried for the safeguard that empties a draining target's queue, which no cell needs: the queue of eight drains within four seconds even at a tenth of the speed. It is still only requestChange::emptiesTheQueueOfADrainingTarget that fails without it. The longer waits stay; all 27 tests pass.

--- a/tests/matrix/cell.h
+++ b/tests/matrix/cell.h
@@ -165,7 +165,8 @@
             reserve.service = i % 4 == 3 ? m_catalogue : m_lending;
             reserve.requestClass = static_cast<RequestClass>(i % RequestClassCount);
             reserve.idempotent = i % 2 == 1;
-            reserve.timeLeft = Deadline;
+            // Some could wait for long at a target that is slow or drains.
+            reserve.timeLeft = i % 10 == 3 ? 8s : Deadline;
             FakeRequest &request = m_net.addRequest(reserve);
             request.payloadBytes = i % 5 == 0 ? 3000 : 20;
             request.askTwice = struck({Fault::TwoReservations}) ? 1 : 0;
@@ -334,7 +335,7 @@
         return;
     case Fault::TargetCold:
         target.serviceTime = 10 * ServiceTime;
-        time.after(2s, [&target] { target.serviceTime = ServiceTime; });
+        time.after(5s, [&target] { target.serviceTime = ServiceTime; });
         return;
     case Fault::TargetLying:
         target.lying = true;
--- a/tests/matrix/checks.h
+++ b/tests/matrix/checks.h
@@ -95,8 +95,7 @@
                                       Fault::TargetHang, Fault::TargetCold});
     if (request.ending == Ending::Unknown && !mayBeUnknown)
         violate("request ", id, " ended as unknown, cause ", static_cast<int>(request.unknown),
-                ", ", (request.endedAt - (request.deadline - Deadline)).count(),
-                " us after its start");
+                ", ", (request.deadline - request.endedAt).count(), " us before its deadline");
     const bool maySilent = struck({Fault::DaemonKill, Fault::DaemonFreeze, Fault::Cut, Fault::Loss,
                                    Fault::Delay, Fault::DaemonRestart});
     if (maySilent)
