--- a/tests/support/virtual_time.h
+++ b/tests/support/virtual_time.h
@@ -15,7 +15,10 @@
 class VirtualTime
 {
 public:
-    explicit VirtualTime(TimePoint start = TimePoint{1h}) noexcept : m_now(start) {}
+    explicit VirtualTime(TimePoint start = TimePoint{1h}) noexcept
+        : m_now(start)
+    {
+    }
 
     [[nodiscard]] TimePoint now() const noexcept { return m_now; }
 
