--- a/src/core/membership/swim.h
+++ b/src/core/membership/swim.h
@@ -75,7 +75,6 @@
 
     void tick();
     void pingNext();
-    void pingSuspects();
     void pingCandidate();
     void pingLost();
     [[nodiscard]] bool isSeedDue() const;
--- a/tests/control/distribute_test.cpp
+++ b/tests/control/distribute_test.cpp
@@ -191,6 +191,31 @@
     cr_assert(fetches == 1, "%zu fetches", fetches);
 }
 
+// A daemon has two questions to one peer. An answer names the peer only, so that with both under
+// way one could be taken for the other.
+Test(distribute, onePeerIsAskedOneQuestionAtATime)
+{
+    const Endpoint address{0x0a000009, 7000};
+    const Endpoint records{0x0a000009, 7001};
+    ControlNode node{
+        {DaemonId{1}, Incarnation{1}, "alx-raml", {0x0a000001, 7000}, {0x0a000001, 7001}}, {}, 1};
+    const MemberUpdate peer{DaemonId{9}, Incarnation{1}, 0,          MemberState::Alive,
+                            address,     records,        "alx-raml", Revision{5}};
+    const auto questionsIn = [](const ControlActions &actions) {
+        return std::count_if(actions.begin(), actions.end(), [](const ControlAction &action) {
+            return std::holds_alternative<FetchFromPeer>(action);
+        });
+    };
+    ControlActions actions;
+    node.start(TimePoint{1s}, actions);
+    node.handle(ControlFromPeer{address, {DaemonId{9}, Incarnation{1}, Ping{1, {peer}, {}}}},
+                TimePoint{1s}, {}, actions);
+    cr_assert(questionsIn(actions) == 1); // For the members; the one for records waits.
+    actions.clear();
+    node.handle(FetchResult{records, std::nullopt}, TimePoint{1s}, {}, actions);
+    cr_assert(questionsIn(actions) == 1);
+}
+
 // A failure domain loses the platform but not the other domains. Changes go on being accepted
 // elsewhere; its daemons learn of them from the others, within ten seconds.
 Test(distribute, domainCutFromThePlatformHearsOfChangesFromPeers)
