--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -110,6 +110,9 @@
         {"drain 70%", 0.7, false, Fault::Drain, false, 40s},
         {"daemon joins 90%", 0.9, false, Fault::DaemonJoins, false, 40s},
         {"daemon dies 70%", 0.7, false, Fault::DaemonDies, false, 40s},
+        {"daemon dies, 2 to 5 s after", 0.7, false, Fault::DaemonDies, false, 10s},
+        {"daemon dies, from 5.5 s after", 0.7, false, Fault::DaemonDies, false, 40s, 5s, 5500ms},
+        {"daemon dies, seen after 2 s", 0.7, false, Fault::DaemonDies, false, 40s, 5s, 2s, 2s},
         {"overload 200%", 2.0, false, Fault::None, true, 30s},
     };
 }
--- a/bench/policy/flow_run.h
+++ b/bench/policy/flow_run.h
@@ -156,7 +156,7 @@
             return configure();
         case Fault::DaemonDies:
             m_alive[DyingDaemon] = false;
-            m_sim.after(ViewDelay, [this] { configure(); });
+            m_sim.after(m_scenario.viewDelay, [this] { configure(); });
             return;
         default:
             return;
--- a/bench/policy/product_way.h
+++ b/bench/policy/product_way.h
@@ -53,7 +53,7 @@
             reconfigure(m_run.daemonUp);
             return;
         case Fault::DaemonDies:
-            m_run.sim.after(ViewDelay, [this] { reconfigure(m_run.daemonUp); });
+            m_run.sim.after(m_run.scenario.viewDelay, [this] { reconfigure(m_run.daemonUp); });
             return;
         default:
             return;
--- a/bench/policy/scenario.h
+++ b/bench/policy/scenario.h
@@ -18,7 +18,7 @@
     LateReports, ///< All reports are one second old.
     Drain,       ///< One target is drained.
     DaemonJoins, ///< One daemon starts.
-    DaemonDies,  ///< One daemon dies; the others' views show it five seconds later.
+    DaemonDies,  ///< One daemon dies; the others' views show it viewDelay later.
     HalfWeight,  ///< One target's weight is halved (flows only).
 };
 
@@ -33,9 +33,9 @@
     Duration length = 60s;
     Duration faultAt = 5s;
     Duration measuredFrom = 2s;
+    Duration viewDelay = 5s; ///< From a daemon's death to the others' new views.
 };
 
 inline constexpr Duration MeanService = 20ms;
-inline constexpr Duration ViewDelay = 5s;
 
 } // namespace baobabtrail::bench
--- a/src/core/targets/impl/heard_load.cpp
+++ b/src/core/targets/impl/heard_load.cpp
@@ -1,5 +1,6 @@
 #include "core/targets/impl/heard_load.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace baobabtrail::impl {
@@ -10,7 +11,8 @@
 constexpr Duration UnavailableFor = 2s;
 constexpr std::uint32_t SilentAfterAsks = 3;
 constexpr Duration SilentAfter = 100ms;
-constexpr Duration SilentRetry = 1s;
+constexpr Duration FirstSilentRetry = 1s;
+constexpr std::uint32_t MostDoublings = 3;
 
 [[nodiscard]] double fading(Duration age, Duration fade) noexcept
 {
@@ -58,7 +60,8 @@
 {
     if (m_unanswered < SilentAfterAsks || now - m_since < SilentAfter)
         return false;
-    return now - m_last < SilentRetry;
+    const std::uint32_t doublings = std::min(m_unanswered - SilentAfterAsks, MostDoublings);
+    return now - m_last < FirstSilentRetry * (1U << doublings);
 }
 
 } // namespace baobabtrail::impl
--- a/src/core/targets/impl/heard_load.h
+++ b/src/core/targets/impl/heard_load.h
@@ -38,8 +38,8 @@
 /// \brief Whether another daemon answers the asks that are handed to it.
 ///
 /// The view drops a dead daemon only after seconds; until then every ask that it gets is lost and
-/// its caller waits for nothing. Three asks without an answer end that; one a second finds out
-/// whether it is back.
+/// its caller waits for nothing. Three asks without an answer end that; one now and then,
+/// less and less often, finds out whether it is back.
 class OwnerContact
 {
 public:
--- /dev/null
+++ b/tests/policy/policy_test.cpp
@@ -0,0 +1,127 @@
+#include "policy/baselines.h"
+#include "policy/flow_run.h"
+#include "policy/product_way.h"
+
+#include <algorithm>
+#include <ostream>
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+using namespace baobabtrail;
+using namespace baobabtrail::bench;
+
+namespace {
+
+constexpr std::uint64_t Seed = 20260;
+
+[[nodiscard]] double quantile(std::vector<double> values, double share)
+{
+    cr_assert_not(values.empty());
+    const auto at = static_cast<std::ptrdiff_t>(share * static_cast<double>(values.size() - 1));
+    std::nth_element(values.begin(), values.begin() + at, values.end());
+    return values[static_cast<std::size_t>(at)];
+}
+
+[[nodiscard]] RequestResult ofProduct(const Scenario &scenario, const Layout &layout)
+{
+    RequestRun run{scenario, layout, Seed};
+    ProductWay way{run};
+    return run.play(way);
+}
+
+[[nodiscard]] RequestResult ofShortestQueue(const Scenario &scenario, const Layout &layout)
+{
+    RequestRun run{scenario, layout, Seed};
+    BaselineWay way{run, Baseline::ShortestQueue};
+    return run.play(way);
+}
+
+struct Case
+{
+    double load;
+    Fault fault;
+    std::uint32_t slots;
+    double worstRatio;
+};
+
+} // namespace
+
+ParameterizedTestParameters(policy, tailStaysNearTheAllKnowingQueue)
+{
+    static Case cases[] = {{0.9, Fault::None, 2, 1.15},      {0.9, Fault::None, 3, 1.15},
+                           {0.7, Fault::SlowTarget, 2, 1.5}, {0.7, Fault::ColdTarget, 3, 1.5},
+                           {0.9, Fault::LyingFull, 2, 1.5},  {0.9, Fault::LyingEmpty, 3, 1.5},
+                           {0.7, Fault::Drain, 2, 1.5},      {0.9, Fault::DaemonJoins, 3, 1.5},
+                           {0.7, Fault::DaemonDies, 2, 1.5}, {0.7, Fault::DaemonDies, 3, 1.5}};
+    return cr_make_param_array(Case, cases, std::size(cases));
+}
+
+// Callers see the tail of the latency: with a fault, from two seconds after it on.
+// The bound knows every queue at once and is spared the hop to an owner.
+ParameterizedTest(Case *param, policy, tailStaysNearTheAllKnowingQueue)
+{
+    Scenario scenario;
+    scenario.load = param->load;
+    scenario.fault = param->fault;
+    scenario.length = 40s;
+    const Layout layout{14, param->slots, 8, 1};
+    const RequestResult ours = ofProduct(scenario, layout);
+    const double bound = quantile(ofShortestQueue(scenario, layout).latencies, 0.99);
+    const double ratio = quantile(ours.latencies, 0.99) / bound;
+    cr_assert_leq(ratio, param->worstRatio, "fault %d, %u slots: p99 is %.2f of the bound",
+                  static_cast<int>(param->fault), param->slots, ratio);
+    if (param->load >= 0.9)
+        cr_assert_leq(quantile(ours.atTarget, 0.5), 1.15);
+    // A daemon that dies takes its targets' slots along until the views show it: three or four of
+    // fourteen, so that the rest is all but full for three of the seconds that are measured.
+    const std::uint64_t most
+        = param->fault == Fault::DaemonDies ? ours.classes[1].offered / 200 : 0;
+    cr_assert_leq(ours.classes[1].refused, most, "fault %d: %llu refused",
+                  static_cast<int>(param->fault),
+                  static_cast<unsigned long long>(ours.classes[1].refused));
+}
+
+// Twice the capacity is offered, seven tenths of it by one tenant.
+// The targets stay busy with work that is answered, pass checks get through, most refusals come at
+// once, and the other tenants get more of their work done than the one that floods.
+Test(policy, overloadRefusesAtOnceAndPassChecksLeast)
+{
+    Scenario scenario;
+    scenario.load = 2.0;
+    scenario.mixed = true;
+    scenario.length = 15s;
+    const RequestResult ours = ofProduct(scenario, Layout{});
+    cr_assert_geq(ours.goodput, 0.95);
+    cr_assert_eq(ours.lost, 0U);
+    cr_assert_leq(ours.classes[0].refused * 100, ours.classes[0].offered);
+    cr_assert_leq(quantile(ours.refusalTimes, 0.5), 3.0);
+    cr_assert_leq(quantile(ours.refusalTimes, 0.99), 100.0);
+    const auto answered = [&](const char *tenant) {
+        const ClassResult &counts = ours.tenants.at(tenant);
+        return static_cast<double>(counts.answered) / static_cast<double>(counts.offered);
+    };
+    cr_assert_geq(answered("tenant0"), 1.5 * answered("flood"));
+}
+
+ParameterizedTestParameters(policy, flowsStayEven)
+{
+    static Fault faults[]
+        = {Fault::None,        Fault::Drain,       Fault::LyingEmpty, Fault::LyingFull,
+           Fault::LateReports, Fault::DaemonJoins, Fault::DaemonDies};
+    return cr_make_param_array(Fault, faults, std::size(faults));
+}
+
+ParameterizedTest(Fault *fault, policy, flowsStayEven)
+{
+    Scenario scenario;
+    scenario.fault = *fault;
+    scenario.length = 15s;
+    const FlowResult result = FlowRun{scenario, Layout{}, Seed, FlowWay::Product}.play();
+    const double imbalance = quantile(result.imbalance, 0.5);
+    // Until the views show a death, the dead daemon's targets get no flows.
+    cr_assert_leq(imbalance, *fault == Fault::DaemonDies ? 1.05 : 1.03, "fault %d: %.3f",
+                  static_cast<int>(*fault), imbalance);
+    cr_assert_geq(quantile(result.least, 0.5), 0.95);
+    cr_assert_eq(result.refused, 0U);
+}
