--- a/bench/policy/product_way.h
+++ b/bench/policy/product_way.h
@@ -53,7 +53,7 @@
             reconfigure(m_run.daemonUp);
             return;
         case Fault::DaemonDies:
-            m_run.sim.after(ViewDelay, [this] { reconfigure(m_run.daemonUp); });
+            m_run.sim.after(m_run.scenario.viewDelay, [this] { reconfigure(m_run.daemonUp); });
             return;
         default:
             return;
@@ -232,7 +232,7 @@
 
     [[nodiscard]] AdmissionQueue &queueOf(std::size_t at, TargetId target)
     {
-        const std::size_t capacity = m_run.layout.slots * ServiceLimits{}.queuePerSlot;
+        const std::size_t capacity = std::size_t{m_run.layout.slots} * ServiceLimits{}.queuePerSlot;
         return m_daemons[at]->queues.try_emplace(target, capacity).first->second;
     }
 
