Keep hold of the configuration and view that a query walks over

A daemon ended with a segmentation fault at "wait for revision": the loop ran over a member of a temporary, which a range loop of C++20 does not keep alive. Found with AddressSanitizer on three daemons and the platform stand-in, at wait.cpp; the three loops of tables.cpp have the same form.

--- a/src/language/impl/tables.cpp
+++ b/src/language/impl/tables.cpp
@@ -153,7 +153,8 @@
 {
     Result result;
     result.columns = {"tenant", "service", "id", "targets", "queue", "share", "retries"};
-    for (const auto &[id, service] : backend.config()->services) {
+    const ConfigPtr config = backend.config();
+    for (const auto &[id, service] : config->services) {
         result.rows.push_back({service.tenant, service.name, text(id), text(service.targets.size()),
                                text(service.limits.queuePerSlot), text(service.limits.tenantShare),
                                text(service.limits.retryPercent)});
@@ -167,7 +168,8 @@
     result.columns = {"tenant", "service", "target", "domain",  "state", "weight",
                       "slots",  "owner",   "health", "running", "limit", "connections"};
     const StatusById statuses = statusById(backend);
-    for (const auto &[serviceId, service] : backend.config()->services) {
+    const ConfigPtr config = backend.config();
+    for (const auto &[serviceId, service] : config->services) {
         for (const auto &[id, target] : service.targets) {
             std::vector<std::string> row{service.tenant,
                                          service.name,
@@ -235,7 +237,8 @@
     result.columns = {"tenant", "service",     "target",  "domain",  "state",
                       "owner",  "connections", "running", "waiting", "report-age"};
     const StatusById statuses = statusById(backend);
-    for (const auto &[serviceId, service] : backend.config()->services) {
+    const ConfigPtr config = backend.config();
+    for (const auto &[serviceId, service] : config->services) {
         for (const auto &[id, target] : service.targets) {
             if (target.state != TargetState::Draining && target.state != TargetState::Retiring)
                 continue;
--- a/src/language/impl/wait.cpp
+++ b/src/language/impl/wait.cpp
@@ -91,7 +91,9 @@
                                   + std::to_string(member.revision.value()));
             }
         }
-        for (const auto &remote : m_backend.view()->remote) {
+        // The view may be replaced by the next event; the loop keeps its own hold on it.
+        const ViewPtr view = m_backend.view();
+        for (const auto &remote : view->remote) {
             if (remote.second.empty() || answered(remote.first, domains))
                 continue;
             missing.push_back("failure domain " + remote.first + " did not answer");
