--- a/src/daemon/admin/http_server.cpp
+++ b/src/daemon/admin/http_server.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include <optional>
+#include <stdexcept>
 
 namespace baobabtrail::daemon {
 
@@ -120,11 +121,19 @@
 
 HttpServer::HttpServer(boost::asio::io_context &context, const Endpoint &local,
                        const AdministrationSettings &settings, Handle handle, FailureHandler failed)
-    : m_acceptor(context, toAsio<tcp>(local))
+    : m_acceptor(context)
     , m_settings(settings)
     , m_handle(std::make_shared<const Handle>(std::move(handle)))
     , m_failed(std::move(failed))
 {
+    try {
+        m_acceptor.open(tcp::v4());
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+        m_acceptor.bind(toAsio<tcp>(local));
+        m_acceptor.listen();
+    } catch (const boost::system::system_error &error) {
+        throw std::runtime_error(toString(local) + ": " + error.code().message());
+    }
     accept();
 }
 
--- a/src/daemon/admin/http_server.h
+++ b/src/daemon/admin/http_server.h
@@ -37,7 +37,7 @@
     /// \param respond To be called once, at any later time.
     using Handle = std::function<void(HttpRequest, Respond respond)>;
 
-    /// \throws boost::system::system_error where the address can't be listened on.
+    /// \throws std::runtime_error where the address can't be listened on.
     HttpServer(boost::asio::io_context &context, const Endpoint &local,
                const AdministrationSettings &settings, Handle handle, FailureHandler failed);
     ~HttpServer();
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -51,6 +51,7 @@
                   m_control->handle(std::move(event));
           })
     , m_stopTimer(m_context)
+    , m_lingerTimer(m_context)
     , m_network("network", m_settings.restarts, runtime())
     , m_core("core", without(m_settings.restarts, NoFailures), runtime())
     , m_administration("administration", m_settings.restarts, runtime())
@@ -89,7 +90,7 @@
     m_stopTimer.async_wait([this](boost::system::error_code error) {
         if (error)
             return;
-        logLine(Severity::Warning, Part::Daemon, "ends with work in progress, its time is up");
+        logLine(Severity::Warning, Part::Daemon, "ends now, its time to stop is up");
         finish(ExitStatus::Done);
     });
     m_control->handle(AnnounceLeave{});
@@ -98,12 +99,24 @@
 
 void Daemon::trafficStopped()
 {
-    // The fabric may hand datagrams of established flows to this daemon until it has noticed that
-    // it leaves; they are forwarded for as long.
-    m_stopTimer.expires_after(m_settings.stopLinger);
-    m_stopTimer.async_wait([this](boost::system::error_code error) {
-        if (!error)
+    logLine(Severity::Info, Part::Daemon, "no request is in progress; flows are still forwarded");
+    linger();
+}
+
+void Daemon::linger()
+{
+    // The fabric hands datagrams of established flows to this daemon until it has noticed that it
+    // leaves. Each one lost would be a gap in someone's feed, and a few in a row look like a flow
+    // that has gone silent; so they are forwarded until none has come for a while.
+    const std::uint64_t seen = m_metrics.counters().data.datagramsIn;
+    m_lingerTimer.expires_after(m_settings.stopLinger);
+    m_lingerTimer.async_wait([this, seen](boost::system::error_code error) {
+        if (error)
+            return;
+        if (m_metrics.counters().data.datagramsIn == seen)
             finish(ExitStatus::Done);
+        else
+            linger();
     });
 }
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -76,6 +76,7 @@
     [[nodiscard]] Gauges gauges() const;
 
     void trafficStopped();
+    void linger();
     void finish(ExitStatus status);
 
     boost::asio::io_context m_context{1};
@@ -99,6 +100,7 @@
     DatagramSorter m_sorter;
 
     boost::asio::steady_timer m_stopTimer;
+    boost::asio::steady_timer m_lingerTimer;
     bool m_stopping = false;
     ExitStatus m_status = ExitStatus::Done;
 
--- a/src/daemon/net/udp_socket.cpp
+++ b/src/daemon/net/udp_socket.cpp
@@ -7,7 +7,7 @@
 
 #include <algorithm>
 #include <cerrno>
-#include <cstring>
+#include <stdexcept>
 #include <sys/socket.h>
 
 namespace baobabtrail::daemon {
@@ -71,7 +71,10 @@
     m_socket.open(boost::asio::ip::udp::v4());
     m_socket.set_option(socket_base::receive_buffer_size(settings.receiveBufferBytes));
     m_socket.set_option(socket_base::send_buffer_size(settings.sendBufferBytes));
-    m_socket.bind(toAsio<boost::asio::ip::udp>(local));
+    boost::system::error_code error;
+    m_socket.bind(toAsio<boost::asio::ip::udp>(local), error);
+    if (error)
+        throw std::runtime_error(toString(local) + ": " + error.message());
     m_socket.non_blocking(true);
     waitForDatagrams();
 }
--- a/src/daemon/net/udp_socket.h
+++ b/src/daemon/net/udp_socket.h
@@ -25,7 +25,7 @@
     using Receive = std::function<void(const Endpoint &from, std::string_view bytes)>;
 
     /// \param failed Called where the socket can't be read any more.
-    /// \throws boost::system::system_error where the address can't be bound.
+    /// \throws std::runtime_error where the address can't be bound.
     UdpSocket(boost::asio::io_context &context, const Endpoint &local,
               const SocketSettings &settings, SocketCounters &counters, Receive receive,
               FailureHandler failed);
--- a/src/daemon/settings/settings.h
+++ b/src/daemon/settings/settings.h
@@ -78,7 +78,7 @@
     PlatformClientSettings platform;
     std::string clusterSecret;
     Duration stopTimeout = 30s; ///< Longest graceful stop.
-    Duration stopLinger = 1s;   ///< Flows are forwarded for this long after the last request.
+    Duration stopLinger = 1s;   ///< Without a datagram of the fabric, before the stop ends.
     SocketSettings sockets;
     LinkSettings links;
     RecordsSettings records;
