--- a/tests/settings/settings_reader_test.cpp
+++ b/tests/settings/settings_reader_test.cpp
@@ -162,6 +162,24 @@
         holds(findingsOf(settingsText("/nowhere/secret")), "clusterSecretFile", "can't be opened"));
 }
 
+// The examples are what newcomers copy. Their secrets are not on this machine; nothing else may be
+// wrong with them.
+Test(settings, examplesLackNothingButTheirSecrets)
+{
+    const std::filesystem::path examples{BAOBABTRAIL_SOURCE_DIR "/examples"};
+    std::size_t files = 0;
+    for (const auto &entry : std::filesystem::directory_iterator{examples}) {
+        const auto result = readSettingsFile(entry.path());
+        const auto *findings = std::get_if<Findings>(&result);
+        cr_assert(findings);
+        for (const Finding &finding : *findings)
+            cr_expect(finding.text.find("/etc/baobabtrail/") == 0, "%s: %s: %s",
+                      entry.path().c_str(), finding.place.c_str(), finding.text.c_str());
+        ++files;
+    }
+    cr_assert_eq(files, 2);
+}
+
 Test(settings, timesAreReadWithTheirUnits)
 {
     cr_assert(parseDuration("300ms") == 300ms);
