Set no timer for a probe that has fallen due

nextTimer() went on naming the time of a probe that waited for work, so that the caller's timer would have expired at once, again and again. The test was seen to fail without the check.

--- a/src/core/targets/impl/owner_side.cpp
+++ b/src/core/targets/impl/owner_side.cpp
@@ -187,11 +187,15 @@
 
 std::optional<TimePoint> TargetTable::Impl::due(const Record &record) const noexcept
 {
-    return record.own ? record.evidence.probeAt() : std::nullopt;
+    const auto at = record.own ? record.evidence.probeAt() : std::nullopt;
+    // A probe that has fallen due waits for work to come; a timer in the past would expire at once,
+    // again and again.
+    return at && *at > m_advancedAt ? at : std::nullopt;
 }
 
 void TargetTable::Impl::advance(TimePoint now, std::vector<Notice> &notices)
 {
+    m_advancedAt = now;
     for (auto &[service, holder] : groups)
         refreshDoubt(holder, now);
     for (auto &[id, record] : records) {
--- a/src/core/targets/impl/table.h
+++ b/src/core/targets/impl/table.h
@@ -157,6 +157,7 @@
     std::vector<Record *> m_candidates; ///< Kept between calls to save allocations.
     std::vector<Record *> m_others;
     std::vector<Scored> m_ranked;
+    TimePoint m_advancedAt{};
     impl::TokenBucket m_reopens{impl::DaemonReopensPerSecond, impl::DaemonReopenBurst};
 };
 
--- a/tests/targets/evidence_test.cpp
+++ b/tests/targets/evidence_test.cpp
@@ -20,6 +20,22 @@
     cr_assert_geq(fleet.table.loadOf(Fleet::target(0), fleet.now).requests, 1000.0F);
 }
 
+// An ejected target's probe has fallen due, but no work comes that could be the probe.
+// The timer that announced it is not set again: it would expire at once, for ever.
+Test(evidence, aProbeThatFellDueSetsNoTimerAgain)
+{
+    Fleet fleet{3};
+    std::vector<Notice> notices;
+    for (int i = 0; i < 5; ++i)
+        fleet.attempt(0, AttemptEnd::TimedOut, 500ms);
+    const std::optional<TimePoint> timer = fleet.table.nextTimer();
+    cr_assert(timer && *timer > fleet.now);
+    fleet.now = *timer;
+    fleet.table.advance(fleet.now, notices);
+    cr_assert_not(fleet.table.nextTimer());
+    cr_assert_eq(notices.size(), 1U);
+}
+
 // A target whose every second attempt fails never fails five times in a row.
 // Its share of failures ejects it all the same.
 Test(evidence, aHighShareOfFailuresEjects)
