--- a/tests/language/execute_test.cpp
+++ b/tests/language/execute_test.cpp
@@ -44,7 +44,8 @@
     {
         Backend made;
         made.config = [this] { return config; };
-        made.view = [this] { return view; };
+        // As in the daemon, a view lives no longer than its last holder.
+        made.view = [this] { return std::make_shared<const View>(*view); };
         made.recentChanges = [this] { return changes; };
         made.targetStatus = [] { return std::vector<TargetStatus>{}; };
         made.propose = [this](Propose proposal, const auto &done) {
