--- a/standins/caller/feeds.cpp
+++ b/standins/caller/feeds.cpp
@@ -118,6 +118,7 @@
     if (feed.state != State::Opening)
         return;
     ++m_counts["refused"];
+    ++m_counts["refused_" + std::to_string(static_cast<int>(message.cause))];
     feed.nextSend = std::max(feed.nextSend, now + message.comeBackAfter);
 }
 
--- a/standins/caller/main.cpp
+++ b/standins/caller/main.cpp
@@ -81,7 +81,11 @@
     }
 
     /// \brief Starts no more requests, waits for the others, closes the feeds.
-    void stop() { m_requests.stop(), m_stopping = true; }
+    void stop()
+    {
+        m_requests.stop();
+        m_stopping = true;
+    }
 
     [[nodiscard]] boost::json::value stats() const
     {
@@ -90,6 +94,8 @@
                 {"malformed", m_malformed}};
     }
 
+    [[nodiscard]] boost::json::value ids() const { return m_requests.ids(); }
+
     [[nodiscard]] std::uint16_t port() const { return m_port.address().port; }
 
 private:
@@ -157,5 +163,6 @@
     printReady({{"control", server.port()}, {"udp", caller.port()}});
     context.run();
     std::cout << boost::json::serialize(caller.stats()) << std::endl;
+    std::cout << boost::json::serialize(caller.ids()) << std::endl;
     return 0;
 }
--- a/standins/caller/requests.cpp
+++ b/standins/caller/requests.cpp
@@ -177,4 +177,19 @@
     return out;
 }
 
+boost::json::object Requests::ids() const
+{
+    boost::json::array answered;
+    boost::json::array notRun;
+    for (const auto &[id, entry] : m_entries) {
+        std::ostringstream text;
+        text << id;
+        if (entry.state == State::Answered)
+            answered.emplace_back(text.str());
+        else if (entry.state == State::NotRun)
+            notRun.emplace_back(text.str());
+    }
+    return {{"answered", std::move(answered)}, {"notRun", std::move(notRun)}};
+}
+
 } // namespace baobabtrail::standins
--- a/standins/caller/requests.h
+++ b/standins/caller/requests.h
@@ -30,6 +30,8 @@
 
     [[nodiscard]] std::size_t pending() const noexcept { return m_pending; }
     [[nodiscard]] boost::json::object stats() const;
+    /// \return Ids of the requests that were answered, and of those that were refused as not run.
+    [[nodiscard]] boost::json::object ids() const;
 
 private:
     enum class State { Reserving, Sent, Answered, NotRun, Unknown, TimedOut };
