--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -3,6 +3,7 @@
 // docs/CAPACITY.md quotes what this prints.
 
 #include "core/traffic/traffic_node.h"
+#include "wire/codec.h"
 
 #include <gflags/gflags.h>
 #include <malloc.h>
@@ -225,12 +226,28 @@
                 kept == 0 ? 0.0 : bytes / static_cast<double>(kept));
 }
 
+/// TCP and IP headers of a segment, with timestamps; each message and each bare acknowledgement.
+constexpr std::size_t SegmentHeaderBytes = 52;
+
+void printHello()
+{
+    const ServiceId service = serviceId("tenant", "service-1999");
+    const LinkHello hello{service, targetId(service, "t4399"), Generation{1000}};
+    const std::size_t asked = wire::encodeLink(hello).size() + SegmentHeaderBytes;
+    const std::size_t answered
+        = wire::encodeLink(LinkHelloReply{service, {2, 3, 5000}}).size() + SegmentHeaderBytes;
+    std::printf("hello on a link: %zu bytes sent, %zu received, headers and acknowledgement "
+                "included\n",
+                asked + SegmentHeaderBytes, answered);
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     printConfiguration();
+    printHello();
     printSlope(
         "request records", 20'000, [](Single &s, std::uint64_t i) { s.reserve(i); },
         [](const TrafficNode::Counts &counts) { return counts.requests; });
