--- /dev/null
+++ b/bench/random/random_placement.cpp
@@ -0,0 +1,56 @@
+// Placement of the baseline: any active target of the service, by chance, and
+// no second try. Linked in front of the product's placement, it makes bench-random-daemon, so that
+// both ways run in the same processes otherwise.
+
+#include "core/targets/impl/table.h"
+
+#include <boost/random/uniform_int_distribution.hpp>
+
+namespace baobabtrail {
+
+namespace {
+
+[[nodiscard]] bool isActive(const impl::TargetRecord &record) noexcept
+{
+    return record.config.state == TargetState::Active && record.owner;
+}
+
+[[nodiscard]] std::optional<PlacementChoice> anyOf(const impl::ServiceGroup *group, Random &random)
+{
+    if (!group)
+        return std::nullopt;
+    std::vector<const impl::TargetRecord *> candidates;
+    for (const impl::TargetRecord *record : group->local) {
+        if (isActive(*record))
+            candidates.push_back(record);
+    }
+    for (const impl::TargetRecord *record : group->remote) {
+        if (isActive(*record))
+            candidates.push_back(record);
+    }
+    if (candidates.empty())
+        return std::nullopt;
+    boost::random::uniform_int_distribution<std::size_t> pick{0, candidates.size() - 1};
+    const impl::TargetRecord &record = *candidates[pick(random)];
+    return PlacementChoice{record.config.id, record.own, record.owner->address};
+}
+
+} // namespace
+
+std::optional<PlacementChoice>
+TargetTable::Impl::chooseForRequest(ServiceId service, const std::vector<LoadHint> &declined,
+                                    TimePoint, Random &random)
+{
+    return declined.empty() ? anyOf(group(service), random) : std::nullopt;
+}
+
+std::optional<PlacementChoice>
+TargetTable::Impl::chooseForFlow(ServiceId service, FlowId, std::uint32_t,
+                                 const std::vector<LoadHint> &declined, TimePoint, Random &random)
+{
+    return declined.empty() ? anyOf(group(service), random) : std::nullopt;
+}
+
+void TargetTable::Impl::hint(const LoadHint &, TimePoint) {}
+
+} // namespace baobabtrail
