Bring back the repeated pings of a suspect

The fake net kept a timer of a daemon's earlier life, so that a restarted daemon stood until the next datagram reached it: fixed. Calls to the fake platform stand in a file of their own.

--- a/bench/control.cpp
+++ b/bench/control.cpp
@@ -35,6 +35,9 @@
 constexpr std::size_t DatagramHeaderBytes = 28; ///< IPv4 and UDP.
 constexpr std::size_t FetchOverheadBytes = 500; ///< TCP and nng set-up of one fetch, both ways.
 constexpr Duration Quiet = 30s;
+constexpr std::size_t Services = 2000; ///< Of the design size.
+constexpr std::size_t Targets = 4400;
+constexpr int Rounds = 20; ///< Of each time that is measured.
 constexpr std::size_t Changes = 8;
 constexpr Duration BetweenChanges = 10s;
 
@@ -250,8 +253,6 @@
 
 [[nodiscard]] Config designSize()
 {
-    constexpr std::size_t Services = 2000;
-    constexpr std::size_t Targets = 4400;
     Config config;
     config.revision = Revision{1};
     config.tenants["alexandria"] = {"alexandria", std::string(64, 'a')};
@@ -279,7 +280,6 @@
 template <typename Work>
 [[nodiscard]] double millisecondsOf(Work work)
 {
-    constexpr int Rounds = 20;
     const auto begin = std::chrono::steady_clock::now();
     for (int i = 0; i < Rounds; ++i)
         work();
--- a/src/core/membership/member_table.cpp
+++ b/src/core/membership/member_table.cpp
@@ -48,6 +48,7 @@
         entry.update.revision = revision;
         entry.changedAt = now;
         entry.suspectUntil = TimePoint{};
+        entry.suspectedHere = false;
         return Merge::Newer;
     }
     // News may come out of order; a process never goes back to an older revision.
--- a/src/core/membership/member_table.h
+++ b/src/core/membership/member_table.h
@@ -14,8 +14,9 @@
 {
     MemberUpdate update;
     TimePoint changedAt{};
-    TimePoint heardAt{};      ///< Last message that it sent itself.
-    TimePoint suspectUntil{}; ///< Only in use where it is suspected.
+    TimePoint heardAt{};        ///< Last message that it sent itself.
+    TimePoint suspectUntil{};   ///< Only in use where it is suspected.
+    bool suspectedHere = false; ///< This daemon itself got no answer from it.
 };
 
 /// \brief Whether \a update says something newer than \a known of the same daemon: a higher
--- a/src/core/membership/swim.cpp
+++ b/src/core/membership/swim.cpp
@@ -44,6 +44,7 @@
     m_context.after(m_context.settings().pingPeriod, [this] { tick(); });
     ++m_ticks;
     pingNext();
+    pingSuspects();
     pingCandidate();
     if (m_ticks % LostPingTicks == 0)
         pingLost();
@@ -85,6 +86,16 @@
     }
 }
 
+// Whoever suspects asks again until the matter is decided. The ping says what is suspected, so one
+// that gets through is enough for a refutation, also where a fifth of all datagrams is lost.
+void Swim::pingSuspects()
+{
+    for (const MemberEntry *entry : m_table.present()) {
+        if (entry->suspectedHere && entry->update.state == MemberState::Suspect)
+            sendPing(entry->update.address, ++m_sequence, entry->update.daemon);
+    }
+}
+
 // The VM list lags in both directions, so a listed VM becomes a member only once it answers.
 void Swim::pingCandidate()
 {
@@ -177,9 +188,9 @@
     if (entry.update.state == MemberState::Alive) {
         entry.update.state = MemberState::Suspect;
         entry.changedAt = m_context.now();
+        entry.suspectedHere = true;
         m_rumors.add(entry.update.daemon);
         m_changed = true;
-        // It says what is suspected: one ping that gets through is enough for a refutation.
         sendPing(entry.update.address, ++m_sequence, entry.update.daemon);
     }
     scheduleRemoval(entry);
--- a/src/core/membership/swim.h
+++ b/src/core/membership/swim.h
@@ -75,6 +75,7 @@
 
     void tick();
     void pingNext();
+    void pingSuspects();
     void pingCandidate();
     void pingLost();
     [[nodiscard]] bool isSeedDue() const;
--- a/tests/support/fake_control_net.h
+++ b/tests/support/fake_control_net.h
@@ -5,7 +5,7 @@
 #include "core/random.h"
 #include "fake_cuts.h"
 #include "fake_platform.h"
-#include "fake_watches.h"
+#include "fake_platform_calls.h"
 #include "support/virtual_time.h"
 
 #include <boost/random/uniform_int_distribution.hpp>
@@ -83,6 +83,7 @@
         node.core = std::make_unique<ControlNode>(node.identity, m_settings, m_random());
         node.frozen = false;
         node.published = Revision{};
+        node.timer.reset();
         node.disturbedAt = now();
         ControlActions actions;
         node.core->start(now(), actions);
@@ -187,7 +188,6 @@
     }
 
 private:
-    static constexpr Duration CallTimeout = 3s;
     static constexpr Duration FetchTimeout = 2s;
     static constexpr Duration InForceWithin = 10s;
 
@@ -355,63 +355,20 @@
         if (!m_cuts.reachesPlatform(index))
             how = PlatformFault::Down;
         const std::uint64_t life = m_nodes[index].life;
-        const auto reply = [=, this, call = action.call](Duration wait, PlatformResult result) {
+        const auto reply = [this, index, life, call = action.call](PlatformResult result) {
             if (m_nodes[index].life == life)
-                deliverLater(index, wait, PlatformReply{call, std::move(result)});
+                deliver(index, PlatformReply{call, std::move(result)});
         };
-        const auto perform = [this, request = action.request] { return platform.perform(request); };
-        const auto afterWrite
-            = [this] { at(now(), [this] { m_watches.answerChanged(platform); }); };
-
-        switch (how) {
-        case PlatformFault::Down:
-            return reply(CallTimeout, PlatformFailure{"timed out", Duration{0}});
-        case PlatformFault::RateLimited:
-            return reply(2ms, PlatformFailure{"too many calls", retryAfter});
-        case PlatformFault::ReplyLost:
-            (void)perform();
-            afterWrite();
-            return reply(CallTimeout, PlatformFailure{"timed out", Duration{0}});
-        case PlatformFault::WriteDelayed:
-            at(now() + CallTimeout + 2s, [=] {
-                (void)perform();
-                afterWrite();
-            });
-            return reply(CallTimeout, PlatformFailure{"timed out", Duration{0}});
-        default:
-            break;
-        }
-        if (const auto *watch = std::get_if<WatchObjects>(&action.request))
-            return wait(index, action.call, *watch, how);
-        const Duration way = how == PlatformFault::Slow ? 1200ms : between(1ms, 4ms);
-        at(now() + way, [=] {
-            PlatformResult result = perform();
-            afterWrite();
-            reply(way, std::move(result));
-        });
-    }
-
-    void wait(NodeIndex index, CallId call, const WatchObjects &watch, PlatformFault how)
-    {
-        const std::uint64_t life = m_nodes[index].life;
-        const auto answer = [this, index, life, call](ObjectList list) {
-            if (m_nodes[index].life != life)
-                return;
-            if (m_cuts.reachesPlatform(index))
-                return deliverLater(index, 2ms, PlatformReply{call, std::move(list)});
-            deliverLater(index, CallTimeout,
-                         PlatformReply{call, PlatformFailure{"timed out", Duration{0}}});
-        };
-        const std::uint64_t number = m_watches.add(watch, how, answer);
-        at(now() + 2ms, [this] { m_watches.answerChanged(platform); });
-        at(now() + watch.wait, [this, number] { m_watches.expire(number); });
+        m_platformCalls.retryAfter = retryAfter;
+        m_platformCalls.call(action.request, how, between(1ms, 4ms), reply,
+                             [this, index] { return m_cuts.reachesPlatform(index); });
     }
 
     ControlSettings m_settings;
     Random m_random;
     VirtualTime m_time{TimePoint{1s}};
     FakeCuts m_cuts;
-    FakeWatches m_watches;
+    FakePlatformCalls m_platformCalls{platform, m_time};
     std::uint64_t m_incarnations = 0;
     std::uint64_t m_proposals = 0;
     std::vector<Node> m_nodes;
