--- a/src/core/config/snapshot_writer.cpp
+++ b/src/core/config/snapshot_writer.cpp
@@ -19,47 +19,42 @@
 
 } // namespace
 
-void SnapshotWriter::tick(std::size_t rank)
+void SnapshotWriter::tick()
 {
     if (m_busy)
         return;
-    if (isDue(rank)) {
+    if (isDue()) {
         m_busy = true;
-        list(rank, std::string{SnapshotPrefix}, {});
+        list(std::string{SnapshotPrefix}, {});
     } else if (!m_oldSnapshots.empty() || !m_compactTo.isNull()) {
         m_busy = true;
         compact();
     }
 }
 
-bool SnapshotWriter::isDue(std::size_t rank) const
+bool SnapshotWriter::isDue() const
 {
-    const std::size_t every = m_context.settings().snapshotEvery;
-    // Later ranks wait a while longer: they step in only where the ones before them don't.
-    const std::size_t after = every + rank * std::max<std::size_t>(every / 8, 1);
-    return m_log.revision().value() >= m_newest.value() + after;
+    return m_log.revision().value() >= m_newest.value() + m_context.settings().snapshotEvery;
 }
 
-void SnapshotWriter::list(std::size_t rank, const std::string &after,
-                          std::vector<StoredObject> found)
+void SnapshotWriter::list(const std::string &after, std::vector<StoredObject> found)
 {
     const ListObjects request{std::string{SnapshotPrefix}, after, SnapshotPage};
-    m_context.call(request,
-                   [this, rank, found = std::move(found)](const PlatformResult &result) mutable {
-                       const auto *page = std::get_if<ObjectList>(&result);
-                       if (!page) {
-                           m_busy = false;
-                           return;
-                       }
-                       found.insert(found.end(), page->objects.begin(), page->objects.end());
-                       if (page->objects.size() < SnapshotPage)
-                           return onListed(rank, found);
-                       const std::string last = found.back().key;
-                       list(rank, last, std::move(found));
-                   });
+    m_context.call(request, [this, found = std::move(found)](const PlatformResult &result) mutable {
+        const auto *page = std::get_if<ObjectList>(&result);
+        if (!page) {
+            m_busy = false;
+            return;
+        }
+        found.insert(found.end(), page->objects.begin(), page->objects.end());
+        if (page->objects.size() < SnapshotPage)
+            return onListed(found);
+        const std::string last = found.back().key;
+        list(last, std::move(found));
+    });
 }
 
-void SnapshotWriter::onListed(std::size_t rank, const std::vector<StoredObject> &objects)
+void SnapshotWriter::onListed(const std::vector<StoredObject> &objects)
 {
     const std::vector<StoredSnapshot> complete = completeSnapshots(objects);
     if (!complete.empty())
@@ -72,7 +67,7 @@
                 m_oldSnapshots.push_back(object.key);
         }
     }
-    if (!isDue(rank)) {
+    if (!isDue()) {
         m_busy = false;
         return;
     }
--- a/src/core/config/snapshot_writer.h
+++ b/src/core/config/snapshot_writer.h
@@ -22,9 +22,8 @@
     {
     }
 
-    /// \brief Goes one step on, where one is due.
-    /// \param rank Place of this failure domain in the order of writers; 0 writes first.
-    void tick(std::size_t rank);
+    /// \brief Goes one step on, where one is due. Lists what other domains have written first.
+    void tick();
 
 private:
     struct Job
@@ -34,9 +33,9 @@
         std::size_t written = 0;
     };
 
-    [[nodiscard]] bool isDue(std::size_t rank) const;
-    void list(std::size_t rank, const std::string &after, std::vector<StoredObject> found);
-    void onListed(std::size_t rank, const std::vector<StoredObject> &objects);
+    [[nodiscard]] bool isDue() const;
+    void list(const std::string &after, std::vector<StoredObject> found);
+    void onListed(const std::vector<StoredObject> &objects);
     void writeShard(const std::shared_ptr<Job> &job);
     void writeManifest(const std::shared_ptr<Job> &job);
     void compact();
--- a/src/core/control/watcher.cpp
+++ b/src/core/control/watcher.cpp
@@ -1,7 +1,6 @@
 #include "core/control/watcher.h"
 
 #include "core/config/log_keys.h"
-#include "core/impl/hash.h"
 
 #include <algorithm>
 
@@ -202,19 +201,8 @@
 {
     m_context.after(withJitter(m_context.random(), m_context.settings().vmListPeriod),
                     [this] { snapshotPeriodically(); });
-    if (rank() != std::optional<std::size_t>{0})
-        return;
-
-    // One failure domain writes first, another one each time; the rest stand by.
-    const View view = m_swim.view();
-    const std::uint64_t turn = m_log.revision().value() / m_context.settings().snapshotEvery;
-    const auto score = [turn](const std::string &domain) { return impl::hash64(domain, turn); };
-    std::size_t before = 0;
-    for (const auto &[domain, members] : view.remote) {
-        if (score(domain) > score(view.domain))
-            ++before;
-    }
-    m_snapshots.tick(before);
+    if (rank() == std::optional<std::size_t>{0})
+        m_snapshots.tick();
 }
 
 } // namespace baobabtrail
