--- a/tests/control/distribute_test.cpp
+++ b/tests/control/distribute_test.cpp
@@ -269,23 +269,35 @@
 }
 
 // The platform is down for minutes, and meanwhile every VM of a failure domain is replaced: one
-// after the other, or all at once. The new daemons must get the configuration from peers.
+// after the other, or all at once, also while the other domains can't
+// be reached at first. The new daemons must get the configuration from peers.
 Test(distribute, domainReplacedWhileThePlatformIsDownGetsStateFromPeers)
 {
-    for (const bool allAtOnce : {false, true}) {
+    enum class How { InTurn, AtOnce, AtOnceCutOff };
+    for (const How how : {How::InTurn, How::AtOnce, How::AtOnceCutOff}) {
         Cluster net;
         net.accept(3, weightChange("w", 50));
         net.run(5s);
         for (const char *domain : Cluster::Domains)
             net.cutPlatform(domain);
         net.run(60s);
+        if (how == How::AtOnceCutOff) {
+            net.cutDomains("alx-raml", "alx-smouha");
+            net.cutDomains("alx-raml", "alx-agami");
+        }
         for (std::size_t node = 0; node < 3; ++node) {
             net.restart(node);
-            if (!allAtOnce)
+            if (how == How::InTurn)
                 net.run(20s);
         }
-        cr_assert(net.runUntil([&] { return net.everywhere(Revision{2}); }, 10s), "all at once: %d",
-                  allAtOnce);
+        if (how == How::AtOnceCutOff) {
+            net.run(10s);
+            net.healAll();
+            for (const char *domain : Cluster::Domains)
+                net.cutPlatform(domain);
+        }
+        cr_assert(net.runUntil([&] { return net.everywhere(Revision{2}); }, 10s), "way %d",
+                  static_cast<int>(how));
         net.run(60s);
         net.healAll();
         const Revision revision = net.accept(0, weightChange("w2", 60));
