--- a/tests/control/distribute_test.cpp
+++ b/tests/control/distribute_test.cpp
@@ -307,3 +307,33 @@
         expectSound(net, "replaced");
     }
 }
+
+// As above, and the new VMs have other addresses, which nobody outside their domain knows. They
+// find each other first, at a seed of their own; only the other seeds lead them to the
+// configuration then.
+Test(distribute, domainOfNewAddressesFindsTheOthersThroughSeeds)
+{
+    Cluster net;
+    net.accept(3, weightChange("w", 50));
+    net.run(5s);
+    for (const char *domain : Cluster::Domains)
+        net.cutPlatform(domain);
+    net.cutDomains("alx-raml", "alx-smouha");
+    net.cutDomains("alx-raml", "alx-agami");
+    for (std::size_t node = 0; node < 3; ++node)
+        net.kill(node);
+    std::vector<std::size_t> added;
+    for (int i = 0; i < 3; ++i)
+        added.push_back(net.add("alx-raml"));
+    net.addSeed(added.front());
+    for (const std::size_t node : added)
+        net.start(node);
+    net.run(20s);
+    for (const std::size_t node : added)
+        cr_assert(net.node(node).view()->members.size() == 3);
+    net.healAll();
+    for (const char *domain : Cluster::Domains)
+        net.cutPlatform(domain);
+    cr_assert(net.runUntil([&] { return net.everywhere(Revision{2}); }, 30s));
+    expectSound(net, "new addresses");
+}
--- a/tests/support/fake_control_net.h
+++ b/tests/support/fake_control_net.h
@@ -115,6 +115,8 @@
         kill(index);
         start(index);
     }
+    /// \brief Names a daemon as a seed to those that start from now on.
+    void addSeed(NodeIndex index) { m_settings.seeds.push_back(m_nodes[index].identity.address); }
     /// \brief Removes a VM from the list at once, without the lag.
     void unlist(NodeIndex index)
     {
