--- a/tests/control/distribute_test.cpp
+++ b/tests/control/distribute_test.cpp
@@ -269,23 +269,35 @@
 }
 
 // The platform is down for minutes, and meanwhile every VM of a failure domain is replaced: one
-// after the other, or all at once. The new daemons must get the configuration from peers.
+// after the other, or all at once, also while the other domains can't
+// be reached at first. The new daemons must get the configuration from peers.
 Test(distribute, domainReplacedWhileThePlatformIsDownGetsStateFromPeers)
 {
-    for (const bool allAtOnce : {false, true}) {
+    enum class How { InTurn, AtOnce, AtOnceCutOff };
+    for (const How how : {How::InTurn, How::AtOnce, How::AtOnceCutOff}) {
         Cluster net;
         net.accept(3, weightChange("w", 50));
         net.run(5s);
         for (const char *domain : Cluster::Domains)
             net.cutPlatform(domain);
         net.run(60s);
+        if (how == How::AtOnceCutOff) {
+            net.cutDomains("alx-raml", "alx-smouha");
+            net.cutDomains("alx-raml", "alx-agami");
+        }
         for (std::size_t node = 0; node < 3; ++node) {
             net.restart(node);
-            if (!allAtOnce)
+            if (how == How::InTurn)
                 net.run(20s);
         }
-        cr_assert(net.runUntil([&] { return net.everywhere(Revision{2}); }, 10s), "all at once: %d",
-                  allAtOnce);
+        if (how == How::AtOnceCutOff) {
+            net.run(10s);
+            net.healAll();
+            for (const char *domain : Cluster::Domains)
+                net.cutPlatform(domain);
+        }
+        cr_assert(net.runUntil([&] { return net.everywhere(Revision{2}); }, 10s), "way %d",
+                  static_cast<int>(how));
         net.run(60s);
         net.healAll();
         const Revision revision = net.accept(0, weightChange("w2", 60));
@@ -295,3 +307,33 @@
         expectSound(net, "replaced");
     }
 }
+
+// As above, and the new VMs have other addresses, which nobody outside their domain knows. They
+// find each other first, at a seed of their own; only the other seeds lead them to the
+// configuration then.
+Test(distribute, domainOfNewAddressesFindsTheOthersThroughSeeds)
+{
+    Cluster net;
+    net.accept(3, weightChange("w", 50));
+    net.run(5s);
+    for (const char *domain : Cluster::Domains)
+        net.cutPlatform(domain);
+    net.cutDomains("alx-raml", "alx-smouha");
+    net.cutDomains("alx-raml", "alx-agami");
+    for (std::size_t node = 0; node < 3; ++node)
+        net.kill(node);
+    std::vector<std::size_t> added;
+    for (int i = 0; i < 3; ++i)
+        added.push_back(net.add("alx-raml"));
+    net.addSeed(added.front());
+    for (const std::size_t node : added)
+        net.start(node);
+    net.run(20s);
+    for (const std::size_t node : added)
+        cr_assert(net.node(node).view()->members.size() == 3);
+    net.healAll();
+    for (const char *domain : Cluster::Domains)
+        net.cutPlatform(domain);
+    cr_assert(net.runUntil([&] { return net.everywhere(Revision{2}); }, 30s));
+    expectSound(net, "new addresses");
+}
