Measure placement over eight ownerships of the targets

The rendezvous hash gave one daemon of the bench four of the fourteen targets and two daemons none; with the queues of one owner shared, that is a larger pool.

--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -21,6 +21,9 @@
 using namespace baobabtrail;
 using namespace baobabtrail::bench;
 
+constexpr int Ownerships = 8;
+constexpr std::uint64_t IdStep = 100;
+
 [[nodiscard]] double quantile(std::vector<double> values, double share)
 {
     if (values.empty())
@@ -117,6 +120,27 @@
     };
 }
 
+/// The rendezvous hash gives some daemons more targets than others, and with the queues of one
+/// owner shared that matters: one set of ids says little.
+void compareOwnerships(std::uint32_t slots)
+{
+    const Scenario steady{"steady 90%, by ownership", 0.9, false, Fault::None, false, 60s};
+    if (steady.name.find(FLAGS_only) == std::string::npos)
+        return;
+    std::printf("%s, %u slots: p99 over the bound's, median imbalance at targets\n",
+                steady.name.c_str(), slots);
+    Layout layout{14, slots, 8, 1};
+    const double bound
+        = quantile(baseline(steady, layout, Baseline::ShortestQueue).latencies, 0.99);
+    for (int i = 0; i < Ownerships; ++i) {
+        const RequestResult ours = product(steady, layout, true);
+        std::printf("  %.2f %.2f", quantile(ours.latencies, 0.99) / bound,
+                    quantile(ours.atTarget, 0.5));
+        layout.firstDaemon += IdStep;
+    }
+    std::printf("\n");
+}
+
 void printFlowRow(const char *way, const FlowResult &result)
 {
     std::printf("  %-18s %6.3f %6.3f   %6.3f   %6.2f   %llu\n", way,
@@ -178,6 +202,8 @@
     }
     for (const Scenario &scenario : requestScenarios())
         compare(scenario, Layout{14, 2, 8, 3});
+    for (const std::uint32_t slots : {2U, 3U})
+        compareOwnerships(slots);
     std::printf(
         "  way                max/mean of flows per weight: p50, p99; min/mean p50; share of the "
         "faulty target; refused\n");
--- a/bench/policy/fleet.h
+++ b/bench/policy/fleet.h
@@ -17,6 +17,7 @@
     std::uint32_t slots = 2;
     std::size_t daemons = 8;
     std::size_t domains = 1;
+    std::uint64_t firstDaemon = 1; ///< Id of the first daemon; decides who owns which target.
 };
 
 [[nodiscard]] inline ServiceId theService()
@@ -72,13 +73,13 @@
                                     const std::vector<bool> &alive)
 {
     auto view = std::make_shared<View>();
-    view->self = DaemonId{self + 1};
+    view->self = DaemonId{self + layout.firstDaemon};
     view->domain = domainOf(self, layout);
     for (std::size_t i = 0; i < layout.daemons; ++i) {
         if (!alive[i])
             continue;
         Member member;
-        member.id = DaemonId{i + 1};
+        member.id = DaemonId{i + layout.firstDaemon};
         member.address = addressOf(i);
         member.domain = domainOf(i, layout);
         if (member.domain == view->domain)
