--- a/src/core/targets/impl/placement.cpp
+++ b/src/core/targets/impl/placement.cpp
@@ -21,6 +21,8 @@
 /// A forward costs a fraction of a millisecond, a wait half a service time: worth a try also where
 /// the other target is thought to be somewhat more loaded, as loads last heard are rarely exact.
 constexpr double WorthForward = 2.0;
+/// Of more candidates the seemingly best would be the same for all daemons more often: a herd.
+constexpr std::size_t Candidates = 3;
 constexpr double NoLoad = std::numeric_limits<double>::infinity();
 /// The second candidate of a flow must be clearly less loaded, so that an open that is sent twice
 /// through daemons with slightly different knowledge finds the same target.
@@ -106,19 +108,22 @@
     return record.heard.flows(holder.usualFlows, now);
 }
 
-TargetTable::Impl::Scored TargetTable::Impl::leastOfTwo(const Group &holder,
+TargetTable::Impl::Scored TargetTable::Impl::leastOfFew(const Group &holder,
                                                         const std::vector<Record *> &among,
                                                         TimePoint now, Random &random) const
 {
     if (among.empty())
         return {nullptr, NoLoad};
-    const std::size_t first = below(among.size(), random);
-    const Scored one{among[first], requestLoad(holder, *among[first], now)};
-    if (among.size() == 1)
-        return one;
-    const std::size_t second = (first + 1 + below(among.size() - 1, random)) % among.size();
-    const Scored other{among[second], requestLoad(holder, *among[second], now)};
-    return other.load < one.load ? other : one;
+    const std::size_t count = among.size();
+    const std::size_t step = count > 1 ? 1 + below(count - 1, random) : 0;
+    std::size_t at = below(count, random);
+    Scored best{nullptr, NoLoad};
+    for (std::size_t i = 0; i < Candidates; ++i, at = (at + step) % count) {
+        const double load = requestLoad(holder, *among[at], now);
+        if (load < best.load)
+            best = {among[at], load};
+    }
+    return best;
 }
 
 void TargetTable::Impl::updateSpilling(Group &holder, double least) const noexcept
@@ -138,7 +143,7 @@
         if (placeable(*record, declined) && reachable(*record, now))
             m_others.push_back(record);
     }
-    return leastOfTwo(holder, m_others, now, random);
+    return leastOfFew(holder, m_others, now, random);
 }
 
 PlacementChoice TargetTable::Impl::chosen(const Record &record)
@@ -161,7 +166,7 @@
         return load >= impl::UnavailableLoad;
     });
     updateSpilling(holder, least);
-    const Scored best = leastOfTwo(holder, m_candidates, now, random);
+    const Scored best = leastOfFew(holder, m_candidates, now, random);
     // What is known for certain, and needs no hop, goes before what was heard.
     return own.record && own.load < best.load ? own : best;
 }
--- a/src/core/targets/impl/table.h
+++ b/src/core/targets/impl/table.h
@@ -151,7 +151,7 @@
                                    TimePoint now, Random &random);
     [[nodiscard]] Record *lessLoadedOfPair(const Group &holder, FlowId flow, std::uint32_t attempt,
                                            TimePoint now);
-    [[nodiscard]] Scored leastOfTwo(const Group &holder, const std::vector<Record *> &among,
+    [[nodiscard]] Scored leastOfFew(const Group &holder, const std::vector<Record *> &among,
                                     TimePoint now, Random &random) const;
     [[nodiscard]] Scored spill(Group &holder, const std::vector<LoadHint> &declined, TimePoint now,
                                Random &random);
--- a/src/core/targets/target_table.h
+++ b/src/core/targets/target_table.h
@@ -56,7 +56,7 @@
     chooseForFlow(ServiceId service, FlowId flow, std::uint32_t attempt,
                   const std::vector<LoadHint> &declined, TimePoint now, Random &random);
 
-    /// \brief Chooses a target for a request: the less loaded of two, on loads last heard, or an
+    /// \brief Chooses a target for a request: the least loaded of three, on loads last heard, or an
     /// own target that is less loaded still.
     /// \return Nothing where this daemon owns the target that declined last and no other is known
     /// to be less loaded: the ask had better wait there than be forwarded.
