Let the stand-ins take a renewed token

A caller uses the token of a further AcceptFlow from the same target when its key epoch is higher; a target that pushes data uses the newest token that came with the flow. Without it pushes are refused two rotations after the open.

--- a/standins/caller/feeds.cpp
+++ b/standins/caller/feeds.cpp
@@ -102,6 +102,8 @@
         if (message.token.target != feed.token.target) {
             ++m_counts["copiesClosed"];
             m_send(FlowMessage{CloseFlow{feed.flow, message.token}});
+        } else if (feed.token.epoch < message.token.epoch) {
+            feed.token = message.token; // Renewed under a newer key.
         }
         return;
     }
--- a/standins/target/flow_table.cpp
+++ b/standins/target/flow_table.cpp
@@ -107,6 +107,8 @@
     }
     found->second.caller = datagram.caller;
     found->second.heard = now();
+    if (found->second.token.epoch < datagram.token.epoch)
+        found->second.token = datagram.token; // Renewed under a newer key.
     if (std::holds_alternative<KeepAlive>(datagram.body))
         reply.body = KeepAliveAck{id, datagram.token};
     else if (!std::holds_alternative<FlowData>(datagram.body))
