--- a/tests/flows/flow_test.cpp
+++ b/tests/flows/flow_test.cpp
@@ -280,6 +280,34 @@
     cr_assert(returned.hints.at(0).target == TargetId{7});
 }
 
+// The service has targets in another failure domain only, or its own domain's are all drained. Asks
+// go to a daemon over there; its answer comes back through the entry.
+Test(flow, isHandedToTheDomainThatHasTargets)
+{
+    NodeRig rig{2};
+    rig.target("t0").state = TargetState::Draining;
+    rig.target("t1").domain = "alx-agami";
+    rig.view.remote["alx-agami"].push_back({DaemonId{200},
+                                            Incarnation{1},
+                                            NodeRig::OtherPeer,
+                                            {},
+                                            "alx-agami",
+                                            MemberState::Alive,
+                                            Revision{10}});
+    rig.handle(ViewChanged{std::make_shared<View>(rig.view)});
+    rig.publish();
+    cr_assert(open(rig).empty());
+    const auto sentFlow = rig.all<SendToPeer>().at(0);
+    rig.fromCaller(RequestMessage{rig.ask(1)});
+    const auto sentRequest = rig.all<SendToPeer>().at(0);
+    for (const SendToPeer &sent : {sentFlow, sentRequest}) {
+        cr_assert(sent.peer == NodeRig::OtherPeer);
+        const auto &ask = std::get<Handoff>(sent.message);
+        cr_assert(ask.target == rig.target("t1").id);
+        cr_assert(ask.entry == NodeRig::identity().address);
+    }
+}
+
 // An older configuration reaches the node after a newer one, as deliveries may cross.
 Test(flow, configurationNeverReverts)
 {
