Answer for owners that have left the view

The membership drops the dead from the views that it publishes, so the answer "owner gone", which looked for a member marked dead, was never given: callers of a dead owner waited until their deadline. The node remembers who left its view (256 at most) and takes a newer incarnation as the end of the older one. Without the memory requestOwner::actsOnlyOnItsOwnReservations fails.

--- a/src/core/requests/request_owner.cpp
+++ b/src/core/requests/request_owner.cpp
@@ -181,7 +181,9 @@
     }
     if (token.owner == m_context.identity.daemon)
         return own(caller, std::move(message), turn);
-    if (ownerIsGone(token)) {
+    // The view may be wrong: then the owner runs the request all the same, once, and the caller has
+    // been told no more than that nobody knows.
+    if (m_context.isGone(token.owner, token.incarnation)) {
         turn.toCaller(caller,
                       RequestMessage{OutcomeUnknown{message.request, UnknownCause::OwnerGone}});
         return;
@@ -210,14 +212,6 @@
         std::move(message.body));
 }
 
-bool RequestOwner::ownerIsGone(const ReservationToken &token) const noexcept
-{
-    // The view may be wrong: then the owner runs the request all the same, once, and the caller
-    // has been told no more than that nobody knows.
-    const Member *owner = m_context.view->find(token.owner);
-    return owner && owner->state == MemberState::Dead && owner->incarnation == token.incarnation;
-}
-
 template <typename Message>
 void RequestOwner::own(const Endpoint &caller, Message message, Turn &turn)
 {
--- a/src/core/requests/request_owner.h
+++ b/src/core/requests/request_owner.h
@@ -42,7 +42,6 @@
     void own(const Endpoint &caller, Message message, Turn &turn);
     void handle(RequestRecord &record, RequestData message, Turn &turn);
     void handle(RequestRecord &record, const CancelRequest &message, Turn &turn);
-    [[nodiscard]] bool ownerIsGone(const ReservationToken &token) const noexcept;
 
     void expire(RequestRecord &record, Turn &turn);
 
--- a/src/core/traffic/node_context.cpp
+++ b/src/core/traffic/node_context.cpp
@@ -6,6 +6,12 @@
 
 namespace baobabtrail {
 
+namespace {
+
+constexpr std::size_t MaxDeparted = 256;
+
+} // namespace
+
 NodeContext::NodeContext(NodeIdentity ownIdentity, TrafficSettings ownSettings,
                          std::shared_ptr<const KeyRing> sharedKeys, std::uint64_t seed)
     : identity(std::move(ownIdentity))
@@ -33,6 +39,30 @@
         tenantWeights += weight;
 }
 
+void NodeContext::setView(ViewPtr newest)
+{
+    for (const Member &member : view->members) {
+        if (newest->find(member.id))
+            continue;
+        if (departed.size() >= MaxDeparted)
+            departed.erase(departed.begin());
+        departed[member.id] = member.incarnation;
+    }
+    view = std::move(newest);
+    for (const Member &member : view->members)
+        departed.erase(member.id);
+}
+
+bool NodeContext::isGone(DaemonId daemon, Incarnation incarnation) const noexcept
+{
+    if (const Member *member = view->find(daemon))
+        return member->incarnation > incarnation
+               || (member->incarnation == incarnation && member->state == MemberState::Dead);
+    // One that was never in the view may have joined a moment ago.
+    const auto found = departed.find(daemon);
+    return found != departed.end() && found->second >= incarnation;
+}
+
 void Turn::toCaller(const Endpoint &caller, FlowMessage message)
 {
     add(SendToCaller{caller, CallerMessage{std::move(message)}});
--- a/src/core/traffic/node_context.h
+++ b/src/core/traffic/node_context.h
@@ -36,6 +36,14 @@
     std::uint64_t tenantWeights = 0;                                ///< Sum of the tenants' shares.
     std::unordered_map<TargetId, const TargetConfig *> targetIndex; ///< Into the configuration.
 
+    /// Members that were in the view and are no longer; bounded.
+    std::unordered_map<DaemonId, Incarnation> departed;
+
+    /// \brief Takes a view, and remembers who left it.
+    void setView(ViewPtr newest);
+    /// \return Whether this life of the daemon is over as far as is known here: it is dead, left
+    /// the view, or was started anew.
+    [[nodiscard]] bool isGone(DaemonId daemon, Incarnation incarnation) const noexcept;
     /// \brief Takes a configuration that is not older than the one in force.
     void setConfig(ConfigPtr newest);
     /// \return The target, of whichever service, or null.
--- a/src/core/traffic/traffic_node.cpp
+++ b/src/core/traffic/traffic_node.cpp
@@ -149,7 +149,7 @@
 
 void TrafficNode::Impl::on(ViewChanged event, Turn &turn)
 {
-    m_context.view = std::move(event.view);
+    m_context.setView(std::move(event.view));
     configure(turn);
 }
 
--- a/tests/matrix/cell.h
+++ b/tests/matrix/cell.h
@@ -304,7 +304,7 @@
         });
         return;
     case Fault::DaemonFreeze:
-        m_net.freeze(daemon);
+        m_net.daemons[daemon].frozen = true;
         time.after(1s, [this, daemon] { m_net.daemons[daemon].inFabric = false; });
         time.after(Deadline + 500ms, [this, daemon] {
             m_net.resume(daemon);
--- a/tests/requests/owner_test.cpp
+++ b/tests/requests/owner_test.cpp
@@ -201,17 +201,29 @@
                          OwnerRequest{NodeRig::Caller, RequestData{request, other, ""}}}});
     cr_assert_eq(rig.toCaller<OutcomeUnknown>().at(0).cause, UnknownCause::OwnerGone);
 
-    rig.view.members.push_back({DaemonId{101},
-                                Incarnation{5},
-                                NodeRig::OtherPeer,
-                                {},
-                                "alx-raml",
-                                MemberState::Dead,
-                                Revision{10}});
+    // The other daemon joins, is suspected, leaves the view as the dead do, and is started anew.
+    Member member{DaemonId{101}, Incarnation{5},     NodeRig::OtherPeer, {},
+                  "alx-raml",    MemberState::Alive, Revision{10}};
+    const auto handedOver = [&](std::vector<Member> others) {
+        View view = rig.view;
+        view.members.insert(view.members.end(), others.begin(), others.end());
+        rig.handle(ViewChanged{std::make_shared<View>(view)});
+        rig.send(1, other);
+        const auto unknown = rig.toCaller<OutcomeUnknown>();
+        cr_assert_eq(unknown.size() + rig.all<SendToPeer>().size(), 1);
+        cr_assert(unknown.empty() || unknown.at(0).cause == UnknownCause::OwnerGone);
+        return unknown.empty();
+    };
+    cr_assert(handedOver({member}));
+    member.state = MemberState::Suspect;
+    cr_assert(handedOver({member}));
+    cr_assert(!handedOver({}));
+    member.incarnation = Incarnation{6};
+    cr_assert(!handedOver({member}));
+    member.incarnation = Incarnation{5};
+    member.state = MemberState::Dead;
+    cr_assert(!handedOver({member}));
     rig.handle(ViewChanged{std::make_shared<View>(rig.view)});
-    rig.send(1, other);
-    cr_assert_eq(rig.toCaller<OutcomeUnknown>().at(0).cause, UnknownCause::OwnerGone);
-    cr_assert(rig.all<SendToPeer>().empty());
 
     ReservationToken forged = *token;
     forged.deadline += 1h;
--- a/tests/support/fake_daemon.h
+++ b/tests/support/fake_daemon.h
@@ -37,6 +37,7 @@
     std::unique_ptr<TrafficNode> node;
     ConfigPtr config;
     ViewPtr view;
+    TimePoint viewAt{}; ///< When its newest view arrives; none overtakes another.
     bool alive = true;
     bool inFabric = true;
     bool frozen = false;
--- a/tests/support/fake_network.h
+++ b/tests/support/fake_network.h
@@ -73,7 +73,6 @@
         });
     }
 
-    void freeze(std::size_t index) { daemons[index].frozen = true; }
     void resume(std::size_t index)
     {
         daemons[index].frozen = false;
@@ -105,6 +104,8 @@
         for (std::size_t i = 0; i < daemons.size(); ++i) {
             const NodeIdentity &id = daemons[i].identity;
             const auto state = states.find(i);
+            if (state != states.end() && state->second == MemberState::Dead)
+                continue; // The dead are not in a view.
             view.members.push_back({id.daemon, id.incarnation, id.address, id.records, id.domain,
                                     state == states.end() ? MemberState::Alive : state->second,
                                     Revision{1}});
@@ -112,8 +113,9 @@
         for (std::size_t i = 0; i < daemons.size(); ++i) {
             view.self = daemons[i].identity.daemon;
             daemons[i].view = std::make_shared<View>(view);
-            time.after(upTo(within),
-                       [this, i, own = daemons[i].view] { deliver(i, ViewChanged{own}); });
+            daemons[i].viewAt = std::max(daemons[i].viewAt, time.now() + upTo(within));
+            time.at(daemons[i].viewAt,
+                    [this, i, own = daemons[i].view] { deliver(i, ViewChanged{own}); });
         }
     }
 
@@ -301,12 +303,11 @@
             if (daemons[i].identity.address == answer.replyTo)
                 to = i;
         }
-        if (!to)
-            return;
-        datagram(address.address, daemons[*to].identity.address.address,
-                 [this, to, address, answer] {
-                     deliver(*to, FromTarget{address, answer});
-                 });
+        if (to)
+            datagram(address.address, daemons[*to].identity.address.address,
+                     [this, to, address, answer] {
+                         deliver(*to, FromTarget{address, answer});
+                     });
     }
 
     void carryOut(std::size_t from, const OpenLink &action)
