--- a/tests/support/fake_network.h
+++ b/tests/support/fake_network.h
@@ -7,8 +7,6 @@
 #include <boost/random/bernoulli_distribution.hpp>
 #include <boost/random/uniform_int_distribution.hpp>
 
-#include <set>
-
 namespace baobabtrail::fake {
 
 /// \brief Several TrafficNodes, targets and callers in virtual time, and the network between them.
@@ -75,7 +73,6 @@
         });
     }
 
-    void freeze(std::size_t index) { daemons[index].frozen = true; }
     void resume(std::size_t index)
     {
         daemons[index].frozen = false;
@@ -107,6 +104,8 @@
         for (std::size_t i = 0; i < daemons.size(); ++i) {
             const NodeIdentity &id = daemons[i].identity;
             const auto state = states.find(i);
+            if (state != states.end() && state->second == MemberState::Dead)
+                continue; // The dead are not in a view.
             view.members.push_back({id.daemon, id.incarnation, id.address, id.records, id.domain,
                                     state == states.end() ? MemberState::Alive : state->second,
                                     Revision{1}});
@@ -114,8 +113,9 @@
         for (std::size_t i = 0; i < daemons.size(); ++i) {
             view.self = daemons[i].identity.daemon;
             daemons[i].view = std::make_shared<View>(view);
-            time.after(upTo(within),
-                       [this, i, own = daemons[i].view] { deliver(i, ViewChanged{own}); });
+            daemons[i].viewAt = std::max(daemons[i].viewAt, time.now() + upTo(within));
+            time.at(daemons[i].viewAt,
+                    [this, i, own = daemons[i].view] { deliver(i, ViewChanged{own}); });
         }
     }
 
@@ -176,6 +176,7 @@
     {
         return p > 0 && boost::random::bernoulli_distribution<double>{p}(random);
     }
+    void rotateKeys(KeyEpoch epoch) { m_keys->rotate(epoch); }
     void cut(std::uint32_t a, std::uint32_t b) { cuts.insert(std::minmax(a, b)); }
 
 private:
@@ -302,12 +303,11 @@
             if (daemons[i].identity.address == answer.replyTo)
                 to = i;
         }
-        if (!to)
-            return;
-        datagram(address.address, daemons[*to].identity.address.address,
-                 [this, to, address, answer] {
-                     deliver(*to, FromTarget{address, answer});
-                 });
+        if (to)
+            datagram(address.address, daemons[*to].identity.address.address,
+                     [this, to, address, answer] {
+                         deliver(*to, FromTarget{address, answer});
+                     });
     }
 
     void carryOut(std::size_t from, const OpenLink &action)
