Make the daemon's sources clean under the linter and the sanitizers

timesAreReadWithTheirUnits compared a text that was gone by then: Criterion's string assertion keeps only the pointer. Found by AddressSanitizer; the test now compares the strings themselves.

scripts/lint.sh over src/daemon and bench/daemon.cpp had nine findings (names of local constants, narrowing, a signal sent to a thread), none now.

--- a/bench/daemon.cpp
+++ b/bench/daemon.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <csignal>
 #include <ctime>
 #include <fstream>
 #include <iostream>
@@ -173,7 +174,7 @@
     }
     ~RunningDaemon()
     {
-        pthread_kill(m_thread.native_handle(), SIGTERM);
+        std::raise(SIGTERM); // the daemon waits for it, whichever thread gets it
         m_thread.join();
     }
     RunningDaemon(const RunningDaemon &) = delete;
--- a/src/daemon/metrics/duration_histogram.cpp
+++ b/src/daemon/metrics/duration_histogram.cpp
@@ -1,6 +1,7 @@
 #include "daemon/metrics/duration_histogram.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <string>
 
 namespace baobabtrail::daemon {
@@ -53,7 +54,8 @@
 {
     if (count() == 0)
         return Duration::zero();
-    return fromSeconds(boost::accumulators::extended_p_square(m_summary)[index]);
+    return fromSeconds(
+        boost::accumulators::extended_p_square(m_summary)[static_cast<std::ptrdiff_t>(index)]);
 }
 
 void DurationHistogram::write(Exposition &page, const Labels &labels) const
--- a/src/daemon/metrics/metrics.cpp
+++ b/src/daemon/metrics/metrics.cpp
@@ -33,7 +33,7 @@
         std::string_view help;
         std::uint64_t SocketCounters::*field;
     };
-    constexpr std::array Families{
+    constexpr std::array families{
         Family{"baobabtrail_datagrams_received_total", "Datagrams read.",
                &SocketCounters::datagramsIn},
         Family{"baobabtrail_datagrams_sent_total", "Datagrams sent.",
@@ -47,7 +47,7 @@
         Family{"baobabtrail_bad_source_total", "Datagrams not from the fabric or without header.",
                &SocketCounters::badSource},
     };
-    for (const Family &family : Families) {
+    for (const Family &family : families) {
         page.family(family.name, "counter", family.help);
         writeSocket(page, family.field, counters);
     }
@@ -87,7 +87,7 @@
         std::string_view name;
         std::uint64_t Counters::*field;
     };
-    constexpr std::array Events{
+    constexpr std::array events{
         Event{"records_served", &Counters::recordsServed},
         Event{"records_refused", &Counters::recordsRefused},
         Event{"fetch_answered", &Counters::fetchesAnswered},
@@ -102,7 +102,7 @@
         Event{"log_line_left_out", &Counters::logLinesLeftOut},
     };
     page.family("baobabtrail_events_total", "counter", "Events of the daemon's parts.");
-    for (const Event &event : Events)
+    for (const Event &event : events)
         page.sample({{"event", event.name}}, static_cast<double>(counters.*event.field));
     page.family("baobabtrail_restarts_total", "counter", "Restarts of a child by its supervisor.");
     for (const auto &[child, count] : counters.restarts)
--- a/src/daemon/metrics/tenant_metrics.cpp
+++ b/src/daemon/metrics/tenant_metrics.cpp
@@ -138,14 +138,14 @@
     page.family("baobabtrail_request_estimate_seconds", "gauge",
                 "Estimated quantiles and mean of baobabtrail_request_seconds.");
     forEachClass([&](const Labels &labels, const ClassMetrics &metrics) {
-        constexpr std::array QuantileNames{"0.5", "0.9", "0.99"};
-        static_assert(QuantileNames.size() == Quantiles.size());
+        constexpr std::array quantileNames{"0.5", "0.9", "0.99"};
+        static_assert(quantileNames.size() == Quantiles.size());
         if (metrics.total.count() == 0)
             return;
         Labels named = labels;
         named.emplace_back("quantile", std::string_view{});
         for (std::size_t index = 0; index < Quantiles.size(); ++index) {
-            named.back().second = QuantileNames[index];
+            named.back().second = quantileNames[index];
             const std::chrono::duration<double> estimate = metrics.total.quantile(index);
             page.sample(named, estimate.count());
         }
--- a/src/daemon/net/frame_kind.h
+++ b/src/daemon/net/frame_kind.h
@@ -11,8 +11,8 @@
 /// field 1 of a caller's frame and of a message between daemons is of another wire type.
 [[nodiscard]] constexpr bool isTargetFrame(std::string_view bytes) noexcept
 {
-    constexpr char CallerAddressTag = (1 << 3) | 1;
-    return !bytes.empty() && bytes.front() == CallerAddressTag;
+    constexpr char callerAddressTag = (1 << 3) | 1;
+    return !bytes.empty() && bytes.front() == callerAddressTag;
 }
 
 } // namespace baobabtrail::daemon
--- a/src/daemon/net/udp_socket.cpp
+++ b/src/daemon/net/udp_socket.cpp
@@ -69,8 +69,9 @@
 {
     using boost::asio::socket_base;
     m_socket.open(boost::asio::ip::udp::v4());
-    m_socket.set_option(socket_base::receive_buffer_size(settings.receiveBufferBytes));
-    m_socket.set_option(socket_base::send_buffer_size(settings.sendBufferBytes));
+    m_socket.set_option(
+        socket_base::receive_buffer_size(static_cast<int>(settings.receiveBufferBytes)));
+    m_socket.set_option(socket_base::send_buffer_size(static_cast<int>(settings.sendBufferBytes)));
     boost::system::error_code error;
     m_socket.bind(toAsio<boost::asio::ip::udp>(local), error);
     if (error)
--- a/src/daemon/settings/settings_reader.cpp
+++ b/src/daemon/settings/settings_reader.cpp
@@ -123,14 +123,14 @@
         std::string_view name;
         Severity severity;
     };
-    constexpr std::array Levels{Level{"debug", Severity::Debug}, Level{"info", Severity::Info},
+    constexpr std::array levels{Level{"debug", Severity::Debug}, Level{"info", Severity::Info},
                                 Level{"warning", Severity::Warning},
                                 Level{"error", Severity::Error}};
     std::string name;
     reader.text("level", name);
-    const auto *level = std::find_if(Levels.begin(), Levels.end(),
+    const auto *level = std::find_if(levels.begin(), levels.end(),
                                      [&](const Level &entry) { return entry.name == name; });
-    if (level != Levels.end())
+    if (level != levels.end())
         out.level = level->severity;
     else if (!name.empty())
         reader.note("level", "expected debug, info, warning or error");
--- a/tests/settings/settings_reader_test.cpp
+++ b/tests/settings/settings_reader_test.cpp
@@ -187,9 +187,9 @@
     cr_assert(parseDuration("0s") == 0s);
     for (const char *wrong : {"", "5", "s", "-1s", "1.5s", "1 s", "9223372036854775807h"})
         cr_expect(!parseDuration(wrong), "%s", wrong);
-    cr_assert_str_eq(toString(90s).c_str(), "90s");
-    cr_assert_str_eq(toString(120s).c_str(), "2min");
-    cr_assert_str_eq(toString(1500us).c_str(), "1500us");
+    cr_assert(toString(90s) == "90s");
+    cr_assert(toString(120s) == "2min");
+    cr_assert(toString(1500us) == "1500us");
 }
 
 Test(accessKeys, findTheirHolder)
