--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -56,9 +56,10 @@
 class Process
 {
 public:
-    enum class Output { Ready, Inherited };
+    enum class Output { Ready, Hidden };
 
-    /// \param output Ready: waits for the line "ready NAME=PORT ..." on standard output.
+    /// \param output Ready: waits for the line "ready NAME=PORT ..." on standard output. Hidden:
+    /// drops what it prints.
     Process(const std::string &program, std::vector<std::string> arguments,
             Output output = Output::Ready)
     {
@@ -66,7 +67,7 @@
         if (pipe2(ends, O_CLOEXEC) != 0)
             throw std::runtime_error("no pipe for " + program);
         m_output.reset(fdopen(ends[0], "r"));
-        spawn(program, std::move(arguments), output == Output::Ready ? ends[1] : -1);
+        spawn(program, std::move(arguments), ends[1], output);
         close(ends[1]);
         if (output == Output::Ready)
             readReady(program);
@@ -118,7 +119,8 @@
         void operator()(FILE *file) const noexcept { std::fclose(file); }
     };
 
-    void spawn(const std::string &program, std::vector<std::string> arguments, int output)
+    void spawn(const std::string &program, std::vector<std::string> arguments, int pipeEnd,
+               Output output)
     {
         std::string path = std::string{BAOBABTRAIL_BINARY_DIR} + '/' + program;
         std::vector<char *> argv{path.data()};
@@ -128,8 +130,10 @@
 
         posix_spawn_file_actions_t actions;
         posix_spawn_file_actions_init(&actions);
-        if (output >= 0)
-            posix_spawn_file_actions_adddup2(&actions, output, STDOUT_FILENO);
+        if (output == Output::Ready)
+            posix_spawn_file_actions_adddup2(&actions, pipeEnd, STDOUT_FILENO);
+        else
+            hide(actions);
         const int error = posix_spawn(&m_id, path.c_str(), &actions, nullptr, argv.data(), environ);
         posix_spawn_file_actions_destroy(&actions);
         if (error != 0)
@@ -137,6 +141,12 @@
         Leftovers::instance().add(m_id);
     }
 
+    static void hide(posix_spawn_file_actions_t &actions)
+    {
+        for (const int handle : {STDOUT_FILENO, STDERR_FILENO})
+            posix_spawn_file_actions_addopen(&actions, handle, "/dev/null", O_WRONLY, 0);
+    }
+
     void readReady(const std::string &program)
     {
         std::istringstream line{readLine()};
