--- a/bench/relay.cpp
+++ b/bench/relay.cpp
@@ -7,6 +7,7 @@
 /// the threads that send don't count.
 
 #include "core/keys.h"
+#include "core/traffic/traffic_node.h"
 #include "wire/codec.h"
 
 #include <gflags/gflags.h>
@@ -241,7 +242,9 @@
         }
     }
 
-    KeyRing keys{std::vector<std::byte>(32, std::byte{1}), KeyEpoch{1}};
+    std::shared_ptr<const KeyRing> ring
+        = std::make_shared<const KeyRing>(std::vector<std::byte>(32, std::byte{1}), KeyEpoch{1});
+    const KeyRing &keys = *ring;
     std::vector<FlowData> flows;
     std::vector<std::string> fromCallers;
     std::vector<std::string> fromTargets;
@@ -272,6 +275,61 @@
     return {datagram.caller, wire::encode(CallerMessage{std::move(datagram.body)})};
 }
 
+/// \brief A traffic node whose configuration holds the target of the flows.
+class Node
+{
+public:
+    Node(const Traffic &traffic, const Endpoint &target)
+        : m_node({DaemonId{1}, Incarnation{1}, "domain", {Loopback, 1}, {Loopback, 2}}, {},
+                 traffic.ring, 1)
+    {
+        auto config = std::make_shared<Config>();
+        config->revision = Revision{1};
+        ServiceConfig &service = config->services[ServiceId{7}];
+        service.id = ServiceId{7};
+        TargetConfig &entry = service.targets[TargetId{9}];
+        entry.id = TargetId{9};
+        entry.generation = Generation{1};
+        entry.flows = target;
+        m_node.handle(ConfigChanged{std::move(config)}, now(), m_actions);
+        m_actions.clear();
+    }
+
+    [[nodiscard]] Outgoing toTarget(std::string_view bytes)
+    {
+        const auto proxied = wire::parseProxied(bytes);
+        auto decoded = wire::decodeCaller(proxied->payload);
+        m_node.handle(FromCaller{proxied->source, std::move(std::get<CallerMessage>(decoded))},
+                      now(), m_actions);
+        const auto &send = std::get<SendToTarget>(m_actions.front());
+        Outgoing out{send.target, wire::encode(send.datagram)};
+        m_actions.clear();
+        return out;
+    }
+
+    [[nodiscard]] Outgoing toCaller(std::string_view bytes)
+    {
+        const auto proxied = wire::parseProxied(bytes);
+        auto decoded = wire::decodeTarget(proxied->payload);
+        m_node.handle(FromTarget{proxied->source, std::move(std::get<TargetDatagram>(decoded))},
+                      now(), m_actions);
+        const auto &send = std::get<SendToCaller>(m_actions.front());
+        Outgoing out{send.caller, wire::encode(send.message)};
+        m_actions.clear();
+        return out;
+    }
+
+private:
+    [[nodiscard]] static TimePoint now()
+    {
+        return TimePoint{std::chrono::duration_cast<Duration>(
+            std::chrono::steady_clock::now().time_since_epoch())};
+    }
+
+    TrafficNode m_node;
+    TrafficActions m_actions;
+};
+
 /// \brief One way to treat a datagram, and what was measured of it.
 struct Way
 {
@@ -285,16 +343,25 @@
 {
     const Endpoint to = sink.address();
     const Work bare = [to](std::string_view bytes) { return Outgoing{to, std::string{bytes}}; };
+    Node node{traffic, to};
     std::vector<Way> ways{
         {"bare relay", traffic.fromCallers, bare, {}},
-        {"caller to target",
+        {"codec, to target",
          traffic.fromCallers,
          [&](std::string_view bytes) { return toTarget(traffic.keys, bytes); },
          {}},
-        {"target to caller",
+        {"codec, to caller",
          traffic.fromTargets,
          [&](std::string_view bytes) { return toCaller(traffic.keys, bytes); },
          {}},
+        {"node, to target",
+         traffic.fromCallers,
+         [&](std::string_view bytes) { return node.toTarget(bytes); },
+         {}},
+        {"node, to caller",
+         traffic.fromTargets,
+         [&](std::string_view bytes) { return node.toCaller(bytes); },
+         {}},
     };
     for (std::uint32_t round = 0; round < FLAGS_rounds; ++round) {
         for (Way &way : ways) {
