Leave finished requests alone in the caller stand-in

A request that ended between two ticks was still looked at once more: it could be reserved again, or be counted as timed out on top of its outcome, after which the count of pending ones never came back to 0.

--- a/standins/caller/requests.cpp
+++ b/standins/caller/requests.cpp
@@ -43,15 +43,19 @@
 
     for (const RequestId &id : m_active) {
         Entry &entry = m_entries.at(id);
+        if (!isOpen(entry))
+            continue;
         if (entry.deadline + Grace <= now)
             finish(entry, State::TimedOut, "timedOut");
         else if (entry.nextSend <= now)
             send(id, entry, now);
     }
-    std::erase_if(m_active, [this](const RequestId &id) {
-        const State state = m_entries.at(id).state;
-        return state != State::Reserving && state != State::Sent;
-    });
+    std::erase_if(m_active, [this](const RequestId &id) { return !isOpen(m_entries.at(id)); });
+}
+
+bool Requests::isOpen(const Entry &entry) noexcept
+{
+    return entry.state == State::Reserving || entry.state == State::Sent;
 }
 
 void Requests::start(TimePoint now)
--- a/standins/caller/requests.h
+++ b/standins/caller/requests.h
@@ -48,6 +48,8 @@
         std::vector<std::optional<std::string>> parts;
     };
 
+    /// \return Whether the request still waits for its outcome.
+    [[nodiscard]] static bool isOpen(const Entry &entry) noexcept;
     void start(TimePoint now);
     void send(const RequestId &id, Entry &entry, TimePoint now);
     void finish(Entry &entry, State state, const char *counter);
