--- a/bench/relay.cpp
+++ b/bench/relay.cpp
@@ -205,13 +205,13 @@
 template <typename Function>
 [[nodiscard]] double nanosecondsOf(Function work)
 {
-    constexpr int Calls = 200000;
+    constexpr int calls = 200000;
     std::vector<double> rounds;
     for (std::uint32_t round = 0; round < FLAGS_rounds; ++round) {
         const double start = threadSeconds();
-        for (int i = 0; i < Calls; ++i)
+        for (int i = 0; i < calls; ++i)
             work(static_cast<std::size_t>(i));
-        rounds.push_back((threadSeconds() - start) * 1e9 / Calls);
+        rounds.push_back((threadSeconds() - start) * 1e9 / calls);
     }
     return median(rounds);
 }
--- a/src/platform/http_form.cpp
+++ b/src/platform/http_form.cpp
@@ -111,9 +111,9 @@
 [[nodiscard]] PlatformFailure unexpected(const HttpResponse &response)
 {
     const auto seconds = parseNumber(headerOf(response, http::field::retry_after)).value_or(0);
-    constexpr std::uint64_t LongestRetryAfter = 3600;
+    constexpr std::uint64_t longestRetryAfter = 3600;
     return {"the platform answered with status " + std::to_string(response.result_int()),
-            std::chrono::seconds{std::min(seconds, LongestRetryAfter)}};
+            std::chrono::seconds{std::min(seconds, longestRetryAfter)}};
 }
 
 [[nodiscard]] PlatformResult written(const HttpResponse &response)
@@ -205,7 +205,7 @@
 
 std::string percentEncode(std::string_view text)
 {
-    constexpr std::string_view Digits = "0123456789ABCDEF";
+    constexpr std::string_view digits = "0123456789ABCDEF";
     std::string out;
     for (const char c : text) {
         if (isPlain(c)) {
@@ -214,8 +214,8 @@
         }
         const auto byte = static_cast<unsigned char>(c);
         out.push_back('%');
-        out.push_back(Digits[byte >> 4]);
-        out.push_back(Digits[byte & 0xf]);
+        out.push_back(digits[byte >> 4]);
+        out.push_back(digits[byte & 0xf]);
     }
     return out;
 }
--- a/standins/platform/platform_service.cpp
+++ b/standins/platform/platform_service.cpp
@@ -13,10 +13,10 @@
 
 [[nodiscard]] std::string base64(const std::string &bytes)
 {
-    constexpr int Variant = sodium_base64_VARIANT_ORIGINAL;
-    std::string out(sodium_base64_encoded_len(bytes.size(), Variant), '\0');
+    constexpr int variant = sodium_base64_VARIANT_ORIGINAL;
+    std::string out(sodium_base64_encoded_len(bytes.size(), variant), '\0');
     sodium_bin2base64(out.data(), out.size(), reinterpret_cast<const unsigned char *>(bytes.data()),
-                      bytes.size(), Variant);
+                      bytes.size(), variant);
     out.pop_back(); // the terminating zero
     return out;
 }
--- a/standins/support/http_server.h
+++ b/standins/support/http_server.h
@@ -52,9 +52,9 @@
 
     void read()
     {
-        constexpr std::uint64_t MaxBodyBytes = 2 << 20;
+        constexpr std::uint64_t maxBodyBytes = 2 << 20;
         m_parser.emplace();
-        m_parser->body_limit(MaxBodyBytes);
+        m_parser->body_limit(maxBodyBytes);
         http::async_read(m_stream, m_buffer, *m_parser,
                          [self = shared_from_this()](boost::system::error_code error, std::size_t) {
                              if (!error)
--- a/standins/support/udp_port.h
+++ b/standins/support/udp_port.h
@@ -24,10 +24,10 @@
         , m_receive(std::move(receive))
         , m_buffer(MaxBytes)
     {
-        constexpr int BufferBytes = 4 << 20;
+        constexpr int bufferBytes = 4 << 20;
         boost::system::error_code ignored;
-        m_socket.set_option(boost::asio::socket_base::receive_buffer_size{BufferBytes}, ignored);
-        m_socket.set_option(boost::asio::socket_base::send_buffer_size{BufferBytes}, ignored);
+        m_socket.set_option(boost::asio::socket_base::receive_buffer_size{bufferBytes}, ignored);
+        m_socket.set_option(boost::asio::socket_base::send_buffer_size{bufferBytes}, ignored);
         m_socket.non_blocking(true);
         wait();
     }
@@ -60,8 +60,8 @@
 
     void readAll()
     {
-        constexpr int MostAtOnce = 256;
-        for (int i = 0; i < MostAtOnce; ++i) {
+        constexpr int mostAtOnce = 256;
+        for (int i = 0; i < mostAtOnce; ++i) {
             boost::asio::ip::udp::endpoint from;
             boost::system::error_code error;
             const std::size_t size
