--- a/bench/whole/run.h
+++ b/bench/whole/run.h
@@ -171,6 +171,9 @@
         std::size_t mainCallers = 0;
         for (Caller &caller : m_callers) {
             const std::string line = caller.process->readLine();
+            // The ids of all requests follow; unread they would fill the pipe and hold the caller.
+            while (!caller.process->readLine().empty())
+                continue;
             caller.process->waitForEnd();
             const auto stats = boost::json::parse(line).as_object();
             add(stats, caller.service);
