--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -16,6 +16,7 @@
 
 work="$(mktemp -d)"
 declare -A pid_of=()  # of every process that this script started, by name
+declare -A id_at=()   # daemon ids, by place
 declare -A port_of=() # by NAME.PORT, as the ready lines tell them
 
 clean_up() {
@@ -128,6 +129,7 @@
         \"records\": \"127.0.0.1:$(records_port "$place")\", \"leaving\": false}"
     "$bin/baobabtraild" --settings "$work/daemon$id.json" > "$work/daemon$id.out" 2>&1 &
     pid_of[daemon$id]=$!
+    id_at[$place]="$id"
 }
 
 answers() {
@@ -198,8 +200,8 @@
 
 # Prints daemon, domain and revision in force, as the daemon at a place sees itself.
 own_row() {
-    ctl_at "$1" --json show daemons | jq -r --arg port ":$(peer_port "$1")" \
-        '.rows[] | select(.[4] | endswith($port)) | "\(.[0]) \(.[1]) \(.[3])"'
+    ctl_at "$1" --json show daemons | jq -r --arg id "${id_at[$1]}" \
+        '.rows[] | select(.[0] == $id) | "\(.[0]) \(.[1]) \(.[3])"'
 }
 
 # Whether the daemon at a place knows every other one, those of other failure domains included.
