--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -56,10 +56,10 @@
 class Process
 {
 public:
-    enum class Output { Ready, Hidden };
+    enum class Output { Ready, Hidden, Inherited };
 
     /// \param output Ready: waits for the line "ready NAME=PORT ..." on standard output. Hidden:
-    /// drops what it prints.
+    /// drops what it prints. Inherited: it prints to where the test prints.
     Process(const std::string &program, std::vector<std::string> arguments,
             Output output = Output::Ready)
     {
@@ -132,7 +132,7 @@
         posix_spawn_file_actions_init(&actions);
         if (output == Output::Ready)
             posix_spawn_file_actions_adddup2(&actions, pipeEnd, STDOUT_FILENO);
-        else
+        else if (output == Output::Hidden)
             hide(actions);
         const int error = posix_spawn(&m_id, path.c_str(), &actions, nullptr, argv.data(), environ);
         posix_spawn_file_actions_destroy(&actions);
