--- a/src/core/requests/dispatcher.cpp
+++ b/src/core/requests/dispatcher.cpp
@@ -33,6 +33,7 @@
             if (!m_context.targets.owns(id) && !m_lines.contains(id))
                 continue;
             Line &line = m_lines[id];
+            line.service = serviceId;
             line.slots = std::max<std::uint32_t>(1, target.slots);
             line.waiting.configure(std::size_t{line.slots} * service.limits.queuePerSlot,
                                    service.tenant, service.limits.tenantShare);
@@ -73,8 +74,12 @@
 {
     m_table.enter(record, QueuedState{std::move(payload)}, record.token.deadline);
     const TargetId target = record.target;
-    m_lines[target].waiting.ready(record.id);
+    const RequestId id = record.id;
+    m_lines[target].waiting.ready(id);
     pump(target, turn);
+    const RequestRecord *waiting = m_table.find(id);
+    if (waiting && waiting->waits())
+        pumpOthers(target, turn);
 }
 
 void Dispatcher::leave(const RequestRecord &record)
@@ -93,6 +98,19 @@
         return;
     Line &line = found->second;
     while (line.waiting.size() > 0 && mayStart(target, line, turn.now)) {
+        RequestRecord *record = takeNext(line, turn);
+        if (!record)
+            break;
+        dispatch(*record, line, turn);
+    }
+    publishWaiting(target, line);
+    if (!leaving(target))
+        takeFromOthers(target, line, turn);
+}
+
+RequestRecord *Dispatcher::takeNext(Line &line, Turn &turn)
+{
+    for (;;) {
         std::vector<QueueEntry> expired;
         const std::optional<RequestId> next = line.waiting.next(turn.now, expired);
         for (const QueueEntry &late : expired) {
@@ -101,12 +119,38 @@
                 m_outcomes.notRun(*record, RefusalCause::DeadlinePassed, Duration{0}, turn);
         }
         if (!next)
-            break;
+            return nullptr;
         RequestRecord *record = m_table.find(*next);
         if (record && std::holds_alternative<QueuedState>(record->state))
+            return record;
+    }
+}
+
+// A queue of one target can be long while another target of the same owner idles: callers would
+// wait for a slot that is free next door.
+void Dispatcher::takeFromOthers(TargetId target, Line &line, Turn &turn)
+{
+    for (auto &[other, busy] : m_lines) {
+        if (other == target || busy.service != line.service)
+            continue;
+        while (busy.waiting.size() > 0 && mayStart(target, line, turn.now)) {
+            RequestRecord *record = takeNext(busy, turn);
+            if (!record)
+                break;
+            record->target = target;
             dispatch(*record, line, turn);
+        }
+        publishWaiting(other, busy);
+    }
+}
+
+void Dispatcher::pumpOthers(TargetId target, Turn &turn)
+{
+    const ServiceId service = m_lines[target].service;
+    for (auto &[other, line] : m_lines) {
+        if (other != target && line.service == service && line.waiting.size() == 0)
+            pump(other, turn);
     }
-    publishWaiting(target, line);
 }
 
 bool Dispatcher::mayStart(TargetId target, const Line &line, TimePoint now) const noexcept
--- a/src/core/requests/dispatcher.h
+++ b/src/core/requests/dispatcher.h
@@ -51,6 +51,7 @@
 private:
     struct Line
     {
+        ServiceId service;
         WaitingLine waiting;
         std::uint32_t running = 0;
         std::uint32_t slots = 1;
@@ -58,6 +59,9 @@
         std::optional<TimePoint> shutSince; ///< Takes no new work since then.
     };
 
+    [[nodiscard]] RequestRecord *takeNext(Line &line, Turn &turn);
+    void takeFromOthers(TargetId target, Line &line, Turn &turn);
+    void pumpOthers(TargetId target, Turn &turn);
     [[nodiscard]] bool mayStart(TargetId target, const Line &line, TimePoint now) const noexcept;
     [[nodiscard]] bool leaving(TargetId target) const noexcept;
     void dispatch(RequestRecord &record, Line &line, Turn &turn);
--- a/tests/requests/change_test.cpp
+++ b/tests/requests/change_test.cpp
@@ -202,3 +202,31 @@
     rig.publish();
     cr_assert(passWithReports(60s, {}).empty());
 }
+
+// Two targets of one owner run a request each, a third request waits in the queue of one of them.
+// Whichever target comes free must run it at once: its caller would wait beside a free slot.
+// A target that drains takes nothing from the other's queue.
+Test(requestChange, aFreeTargetTakesFromTheQueuesOfItsOwner)
+{
+    for (const std::size_t freed : {0, 1}) {
+        for (const bool drains : {false, true}) {
+            NodeRig rig{2};
+            std::vector<std::pair<TargetId, Dispatch>> running;
+            for (std::uint64_t id = 1; running.size() < 2; ++id)
+                running.push_back(*rig.start(rig.ask(id, 30s)));
+            cr_assert(running[0].first != running[1].first);
+            cr_assert(!rig.start(rig.ask(3, 30s)));
+            if (drains) {
+                rig.config.services[rig.service].targets[running[freed].first].state
+                    = TargetState::Draining;
+                rig.publish();
+                rig.pass(3s); // Its own queue is empty by then.
+            }
+            rig.done(running[freed]);
+            const auto next = rig.onLinks<Dispatch>();
+            cr_expect_eq(next.size(), drains ? 0U : 1U);
+            if (!next.empty())
+                cr_expect(next[0].first == running[freed].first && next[0].second.request.low == 3);
+        }
+    }
+}
