Let daemons that start together meet, and unconfigured ones stay silent

Cause: all daemons read a VM list that lagged behind all of them and knew only themselves for ten seconds; the wait asked one of them. A daemon alone now looks again soon, ever less often; one without any configuration answers no ask, so that the caller asks elsewhere. Ruled out: seeds in every settings file, which operators may leave out.

--- a/bench/whole.cpp
+++ b/bench/whole.cpp
@@ -11,6 +11,7 @@
 #include <cstdio>
 
 DEFINE_double(scale, 1.0, "share of the connections; the request rates stay");
+DEFINE_bool(baseline, true, "whether the baseline runs beside the product");
 DEFINE_string(only, "", "tenant of the one deployment to run");
 
 namespace {
@@ -48,7 +49,8 @@
             if (!FLAGS_only.empty() && FLAGS_only != plan.tenant)
                 continue;
             print(plan.tenant, "baobabtrail", Run{plan, run, "baobabtraild"}());
-            print(plan.tenant, "random", Run{plan, run, "bench-random-daemon"}());
+            if (FLAGS_baseline)
+                print(plan.tenant, "random", Run{plan, run, "bench-random-daemon"}());
         }
     } catch (const std::exception &error) {
         std::fprintf(stderr, "bench-whole: %s\n", error.what());
--- a/bench/whole/run.h
+++ b/bench/whole/run.h
@@ -166,8 +166,25 @@
         return values[values.size() / 2];
     }
 
+    /// Why flows were reset or refused and requests not run, as the daemons counted it.
+    void explain() const
+    {
+        std::map<std::string, double> sums;
+        for (const char *family :
+             {"baobabtrail_flow_resets_total", "baobabtrail_flow_refusals_total",
+              "baobabtrail_request_refusals_total", "baobabtrail_flows_total",
+              "baobabtrail_send_drops_total", "baobabtrail_rejects_total",
+              "baobabtrail_events_total"})
+            m_system.addMetrics(family, sums);
+        for (const auto &[name, sum] : sums) {
+            if (sum > 0)
+                std::cerr << name << ' ' << sum << '\n';
+        }
+    }
+
     void collect()
     {
+        explain();
         std::size_t mainCallers = 0;
         for (Caller &caller : m_callers) {
             const std::string line = caller.process->readLine();
--- a/bench/whole/system.h
+++ b/bench/whole/system.h
@@ -106,6 +106,19 @@
             .as_object();
     }
 
+    /// \brief Sum of a counter over all daemons, by its labels.
+    void addMetrics(const std::string &family, std::map<std::string, double> &sums) const
+    {
+        for (const Daemon &daemon : m_daemons) {
+            std::istringstream page{callHttp(verb::get, daemon.ports.at(3), "/metrics")};
+            for (std::string line; std::getline(page, line);) {
+                const auto space = line.rfind(' ');
+                if (line.starts_with(family) && space != std::string::npos)
+                    sums[line.substr(0, space)] += std::stod(line.substr(space + 1));
+            }
+        }
+    }
+
     [[nodiscard]] std::size_t targets(std::size_t service) const
     {
         return m_targets.at(service).size();
--- a/src/core/control/watcher.cpp
+++ b/src/core/control/watcher.cpp
@@ -175,7 +175,7 @@
             m_vmsKnown = true;
             m_vmBackoff.reset();
             m_swim.takeVmList(*list);
-            m_context.after(withJitter(m_context.random(), period), [this] { pollVms(); });
+            m_context.after(nextPoll(), [this] { pollVms(); });
             return;
         }
         const auto *failure = std::get_if<PlatformFailure>(&result);
@@ -187,6 +187,17 @@
     });
 }
 
+// VMs that start together all read a list that lags behind them. Each would know only itself for a
+// whole period: it would place work on its own and take a change that it alone has for in force
+// everywhere. Asking again soon, and ever less often, costs a lonely daemon a few calls.
+Duration Watcher::nextPoll()
+{
+    const Duration period = withJitter(m_context.random(), m_context.settings().vmListPeriod);
+    if (m_swim.hasPeers())
+        return period;
+    return std::min(period, m_aloneBackoff.next(m_context.random(), Duration{0}));
+}
+
 // A failure domain that is cut off from the platform learns of changes from the others.
 void Watcher::compareWithRemote()
 {
--- a/src/core/control/watcher.h
+++ b/src/core/control/watcher.h
@@ -33,6 +33,7 @@
     void readLog();
     [[nodiscard]] bool shouldRead();
     void pollVms();
+    [[nodiscard]] Duration nextPoll();
     void compareWithRemote();
     void snapshotPeriodically();
 
@@ -45,6 +46,7 @@
     Backoff m_startBackoff{200ms, 3s};
     Backoff m_watchBackoff{200ms, 3s};
     Backoff m_vmBackoff{1s, 10s};
+    Backoff m_aloneBackoff{400ms, 10s};
     ObjectVersion m_version; ///< Newest that a list or watch has shown.
     std::uint64_t m_watchEpoch = 0;
     std::uint64_t m_watchReplies = 0;
--- a/src/core/flows/flow_router.cpp
+++ b/src/core/flows/flow_router.cpp
@@ -77,6 +77,8 @@
         return;
     if (m_context.stopping)
         return refuse(ask, RefusalCause::Stopping, turn);
+    if (!m_context.configured())
+        return;
     if (!m_context.knows(open.service))
         return refuse(ask, RefusalCause::UnknownService, turn);
     if (m_pending.full())
--- a/src/core/requests/request_owner.cpp
+++ b/src/core/requests/request_owner.cpp
@@ -82,6 +82,8 @@
         return;
     if (m_context.stopping)
         return refuse(ask, RefusalCause::Stopping, comeBackAfter, turn);
+    if (!m_context.configured())
+        return;
     if (!m_context.knows(reserve.service))
         return refuse(ask, RefusalCause::UnknownService, comeBackAfter, turn);
     const std::optional<RefusalCause> bound = refusalByBounds(reserve);
--- a/src/core/traffic/node_context.h
+++ b/src/core/traffic/node_context.h
@@ -60,7 +60,12 @@
         return Duration{Draw{mean.count() / 2, mean.count() + mean.count() / 2}(random)};
     }
 
-    /// \return Whether the ask may not be answered for want of a service in the configuration.
+    /// \brief A daemon that started a moment ago knows no service yet. To say so would end the ask
+    /// although every other daemon could place it; left without an answer, the caller asks again
+    /// and the fabric hands it elsewhere.
+    [[nodiscard]] bool configured() const noexcept { return !config->revision.isNull(); }
+
+    /// \return Whether the configuration has the service.
     [[nodiscard]] bool knows(ServiceId service) const noexcept
     {
         return config->service(service) != nullptr;
--- a/tests/control/watcher_test.cpp
+++ b/tests/control/watcher_test.cpp
@@ -188,3 +188,25 @@
                   counts[1]);
     }
 }
+
+// All VMs of a system start in the same moment, without seeds, and the platform's list of VMs lags
+// by half a second: the first look shows each daemon an empty list. Whoever waits for a change then
+// must not be told that it is in force by a daemon that knows only itself.
+Test(watcher, daemonsThatStartTogetherMeetWithinSeconds)
+{
+    FakeControlNet net{1, {}};
+    for (const char *domain : Cluster::Domains) {
+        for (int i = 0; i < 3; ++i)
+            net.add(domain);
+    }
+    net.forgetSeeds();
+    const auto listed = std::exchange(net.platform.vms, {});
+    net.startAll();
+    net.run(500ms);
+    net.platform.vms = listed;
+    net.run(3s);
+    for (std::size_t node = 0; node < net.size(); ++node) {
+        const ViewPtr view = net.node(node).view();
+        cr_expect(view->members.size() == 3 && view->remote.size() == 2, "daemon %zu", node);
+    }
+}
--- a/tests/requests/change_test.cpp
+++ b/tests/requests/change_test.cpp
@@ -230,3 +230,34 @@
         }
     }
 }
+
+// A VM was replaced a moment ago and its daemon has no configuration yet; the fabric sprays at it
+// already. A refusal would end what every other daemon could serve: it must not answer at all, so
+// that the caller asks again elsewhere. Once it is configured, an unknown service is refused.
+Test(requestChange, aDaemonWithoutConfigurationAnswersNoAsk)
+{
+    for (const bool configured : {false, true}) {
+        TrafficNode node{
+            NodeRig::identity(),
+            {},
+            std::make_shared<KeyRing>(std::vector<std::byte>(32, std::byte{7}), KeyEpoch{1}),
+            1};
+        TrafficActions actions;
+        auto config = std::make_shared<Config>();
+        config->revision = Revision{configured ? 3U : 0U};
+        node.handle(ConfigChanged{config}, TimePoint{1h}, actions);
+        actions.clear();
+        const ServiceId service = serviceId("alexandria", "lending");
+        const OpenFlow open{FlowId{1}, service, {}, 0};
+        Reserve reserve;
+        reserve.request = RequestId{1, 1};
+        reserve.service = service;
+        reserve.timeLeft = 1s;
+        node.handle(FromCaller{NodeRig::Caller, FlowMessage{open}}, TimePoint{1h}, actions);
+        node.handle(FromCaller{NodeRig::Caller, RequestMessage{reserve}}, TimePoint{1h}, actions);
+        const auto answers = std::count_if(actions.begin(), actions.end(), [](const auto &action) {
+            return std::holds_alternative<SendToCaller>(action);
+        });
+        cr_expect_eq(answers, configured ? 2 : 0);
+    }
+}
--- a/tests/support/fake_control_net.h
+++ b/tests/support/fake_control_net.h
@@ -117,6 +117,8 @@
     }
     /// \brief Names a daemon as a seed to those that start from now on.
     void addSeed(NodeIndex index) { m_settings.seeds.push_back(m_nodes[index].identity.address); }
+    /// \brief Daemons that start from now on have no seeds.
+    void forgetSeeds() { m_settings.seeds.clear(); }
     /// \brief Removes a VM from the list at once, without the lag.
     void unlist(NodeIndex index)
     {
