--- a/bench/whole/system.h
+++ b/bench/whole/system.h
@@ -51,6 +51,7 @@
         for (std::size_t i = 0; i < m_plan.daemons; ++i)
             m_daemons.push_back(startDaemon(i + 1, i));
         startTargets(run);
+        waitUntil("the views", [this] { return membersSeen() == membersToSee(); });
         declare();
     }
 
@@ -176,6 +177,24 @@
         return m_plan.domains.at(index % m_plan.domains.size());
     }
 
+    /// Sum over all daemons of the members that each sees in its failure domain.
+    [[nodiscard]] double membersSeen() const
+    {
+        std::map<std::string, double> sums;
+        addMetrics("baobabtrail_members_alive", sums);
+        return sums["baobabtrail_members_alive"];
+    }
+    [[nodiscard]] double membersToSee() const
+    {
+        std::map<std::string, double> sizes;
+        for (std::size_t i = 0; i < m_plan.daemons; ++i)
+            ++sizes[domainOf(i)];
+        double sum = 0;
+        for (const auto &[domain, size] : sizes)
+            sum += size * size;
+        return sum;
+    }
+
     [[nodiscard]] Daemon startDaemon(std::size_t id, std::size_t place)
     {
         Daemon daemon{id, freePorts(), nullptr};
