Don't say 'everywhere' before the list of VMs has shown the daemon

A wait now ends well only at a daemon that the list has shown, and a daemon looks again, with back-off, until it is shown. Ruled out: a fixed delay after the start, which is right for one lag only. The new test fails without the check.

--- a/scripts/measure-process.sh
+++ b/scripts/measure-process.sh
@@ -12,6 +12,7 @@
 pids=()
 clean_up() {
     for pid in "${pids[@]}"; do
+        disown "$pid" # else the shell reports its end on the terminal
         kill -KILL "$pid" 2> /dev/null || true
     done
     wait 2> /dev/null || true
@@ -48,6 +49,9 @@
     "administration": {"operatorKeyFile": "$work/operator.key"}
 }
 SETTINGS
+    curl -sf -m 5 -X PUT "http://127.0.0.1:$platform_port/control/vms/$id" > /dev/null -d \
+        "{\"domain\": \"domain-0\", \"address\": \"127.0.0.1:$((port + 1))\",
+          \"records\": \"127.0.0.1:$((port + 2))\"}"
     "$bin/baobabtraild" --settings "$work/daemon$id.json" > "$work/daemon$id.out" 2>&1 &
     pids+=($!)
 done
--- a/src/core/control/control_node.cpp
+++ b/src/core/control/control_node.cpp
@@ -38,6 +38,7 @@
     [[nodiscard]] const ControlContext &context() const noexcept { return m_context; }
     [[nodiscard]] const ConfigLog &log() const noexcept { return m_log; }
     [[nodiscard]] const ConfigPtr &published() const noexcept { return m_published; }
+    [[nodiscard]] bool listed() const noexcept { return m_watcher.listed(); }
     [[nodiscard]] ViewPtr view() const { return std::make_shared<const View>(m_swim.view()); }
 
 private:
@@ -287,6 +288,11 @@
     return m_impl->view();
 }
 
+bool ControlNode::listed() const noexcept
+{
+    return m_impl->listed();
+}
+
 DomainStatus ControlNode::status(TimePoint now) const
 {
     return m_impl->status(now);
--- a/src/core/control/control_node.h
+++ b/src/core/control/control_node.h
@@ -53,6 +53,9 @@
     [[nodiscard]] ConfigPtr config() const noexcept;
     [[nodiscard]] ViewPtr view() const noexcept;
     [[nodiscard]] DomainStatus status(TimePoint now) const;
+    /// \return Whether the platform's list of VMs has shown this daemon. Until then its view may
+    /// lack others that the lagging list doesn't show either.
+    [[nodiscard]] bool listed() const noexcept;
     /// \return Records that are kept, oldest first, for queries about a change's fate.
     [[nodiscard]] std::vector<ChangeRecord> recentChanges() const;
 
--- a/src/core/control/watcher.cpp
+++ b/src/core/control/watcher.cpp
@@ -15,6 +15,12 @@
 constexpr int RemoteFactor = 12;   ///< The same for comparing revisions across domains.
 constexpr int OldConfigFactor = 3; ///< Periods without confirmation that make one ask itself.
 
+[[nodiscard]] bool lists(const VmList &list, DaemonId daemon)
+{
+    return std::any_of(list.vms.begin(), list.vms.end(),
+                       [&](const VmEntry &vm) { return vm.daemon == daemon; });
+}
+
 } // namespace
 
 Watcher::Watcher(ControlContext &context, ConfigLog &log, LogReader &reader, Swim &swim, Age age)
@@ -166,13 +172,13 @@
 {
     const Duration period = m_context.settings().vmListPeriod;
     const bool needed = rank() || !m_swim.hasPeers();
-    if (!needed && m_vmsKnown) {
+    if (!needed && m_listed) {
         m_context.after(withJitter(m_context.random(), period), [this] { pollVms(); });
         return;
     }
     m_context.call(ListVms{}, [this, needed, period](const PlatformResult &result) {
         if (const auto *list = std::get_if<VmList>(&result)) {
-            m_vmsKnown = true;
+            m_listed = m_listed || lists(*list, m_context.identity().daemon);
             m_vmBackoff.reset();
             m_swim.takeVmList(*list);
             m_context.after(nextPoll(), [this] { pollVms(); });
@@ -193,7 +199,7 @@
 Duration Watcher::nextPoll()
 {
     const Duration period = withJitter(m_context.random(), m_context.settings().vmListPeriod);
-    if (m_swim.hasPeers())
+    if (m_swim.hasPeers() && m_listed)
         return period;
     return std::min(period, m_aloneBackoff.next(m_context.random(), Duration{0}));
 }
--- a/src/core/control/watcher.h
+++ b/src/core/control/watcher.h
@@ -22,6 +22,8 @@
     void start();
     /// \return Place among the watchers of the domain, or nothing.
     [[nodiscard]] std::optional<std::size_t> rank() const;
+    /// \return Whether a list of VMs has shown this daemon; before that it may lag behind others.
+    [[nodiscard]] bool listed() const noexcept { return m_listed; }
 
 private:
     void readAtStart();
@@ -52,7 +54,7 @@
     std::uint64_t m_watchReplies = 0;
     std::optional<TimePoint> m_readNotBefore;
     bool m_watching = false;
-    bool m_vmsKnown = false;
+    bool m_listed = false;
     std::uint64_t m_remoteTicks = 0;
 };
 
--- a/src/daemon/daemon_ports.cpp
+++ b/src/daemon/daemon_ports.cpp
@@ -106,6 +106,7 @@
     language::Backend result;
     result.config = [this] { return m_config; };
     result.view = [this] { return m_control->node().view(); };
+    result.listed = [this] { return m_control->node().listed(); };
     result.recentChanges = [this] { return m_control->node().recentChanges(); };
     result.targetStatus = [this] { return m_traffic->node().targetStatus(monotonicNow()); };
     result.propose = [this](Propose proposal, std::function<void(ProposalOutcome)> done) {
--- a/src/language/backend.h
+++ b/src/language/backend.h
@@ -21,6 +21,9 @@
 {
     std::function<ConfigPtr()> config;
     std::function<ViewPtr()> view;
+    /// Whether the platform's list of VMs has shown this daemon; before that, its view is no ground
+    /// for saying "everywhere".
+    std::function<bool()> listed;
     std::function<std::vector<ChangeRecord>()> recentChanges;
     /// Targets that this daemon owns.
     std::function<std::vector<TargetStatus>()> targetStatus;
--- a/src/language/impl/wait.cpp
+++ b/src/language/impl/wait.cpp
@@ -82,6 +82,9 @@
     missingDaemons(Revision revision, const std::vector<DomainStatus> &domains) const
     {
         std::vector<std::string> missing;
+        if (!m_backend.listed())
+            missing.emplace_back("the platform's list of VMs has not shown this daemon yet, so it "
+                                 "may not know all others");
         for (const DomainStatus &domain : domains) {
             for (const MemberUpdate &member : domain.members) {
                 if (member.state == MemberState::Dead || member.revision >= revision)
--- a/tests/language/execute_test.cpp
+++ b/tests/language/execute_test.cpp
@@ -19,6 +19,7 @@
     ProposalOutcome outcome = ProposalAccepted{Revision{4}, false};
     Propose proposed;
     std::int64_t now = 1000;
+    bool listed = true;
     std::optional<FlowToken> token;
     TokenError tokenError = TokenError::None;
 
@@ -46,6 +47,7 @@
         made.config = [this] { return config; };
         // As in the daemon, a view lives no longer than its last holder.
         made.view = [this] { return std::make_shared<const View>(*view); };
+        made.listed = [this] { return listed; };
         made.recentChanges = [this] { return changes; };
         made.targetStatus = [] { return std::vector<TargetStatus>{}; };
         made.propose = [this](Propose proposal, const auto &done) {
@@ -178,6 +180,16 @@
     cr_assert(explained("").status == Status::Refused);
 }
 
+// An operator waits at a daemon that started a moment ago. It knows only itself, and the platform's
+// list of VMs lags: what it sees may not be everywhere, so that it must not say so.
+Test(execute, waitDoesNotTrustAViewBeforeTheListShowedTheDaemon)
+{
+    FakeBackend fake;
+    fake.listed = false;
+    fake.statuses = {{domainAt("alx-raml", Revision{4})}};
+    cr_assert(fake.run("wait for revision 4 timeout 3s").status == Status::Unknown);
+}
+
 Test(execute, changeFateCountsDaemons)
 {
     FakeBackend fake;
