Make a table's view once, and its rows in one place

show targets asked for the view of the members once for each target, and each view is made anew from all members: 4,400 times 630 members on the thread that forwards datagrams, at the design size.

--- a/src/language/impl/tables.cpp
+++ b/src/language/impl/tables.cpp
@@ -41,19 +41,50 @@
     return byId;
 }
 
-[[nodiscard]] std::string ownerName(const Backend &backend, const TargetConfig &target)
+[[nodiscard]] std::string ownerName(const View &view, const TargetConfig &target)
 {
-    const ViewPtr view = backend.view();
-    if (target.domain != view->domain)
+    if (target.domain != view.domain)
         return "in " + target.domain;
-    const Member *owner = view->ownerOf(target.id);
+    const Member *owner = view.ownerOf(target.id);
     return owner ? text(owner->id) : NotKnownHere;
 }
 
-/// \brief Seconds since 1970 as "2026-12-02T20:38:40Z".
-[[nodiscard]] std::string utc(std::int64_t unixSeconds)
+using Row = std::vector<std::string>;
+
+/// \brief One row for each target that \a shown selects: who it is, what \a declared adds of its
+/// configuration, its owner, and what \a seen adds where this daemon owns it.
+/// \param seenColumns How many columns \a seen adds.
+template <typename Shown, typename Declared, typename Seen>
+[[nodiscard]] Rows targetRows(const Backend &backend, std::size_t seenColumns, Shown shown,
+                              Declared declared, Seen seen)
+{
+    Rows rows;
+    const StatusById statuses = statusById(backend);
+    const ConfigPtr config = backend.config();
+    // Once for all rows: a view is made anew for each call, from every member that is known.
+    const ViewPtr view = backend.view();
+    for (const auto &[serviceId, service] : config->services) {
+        for (const auto &[id, target] : service.targets) {
+            if (!shown(target))
+                continue;
+            Row row{service.tenant, service.name, target.name, target.domain,
+                    std::string(baobabtrail::toString(target.state))};
+            declared(row, target);
+            row.push_back(ownerName(*view, target));
+            const auto found = statuses.find(id);
+            if (found == statuses.end())
+                row.insert(row.end(), seenColumns, NotKnownHere);
+            else
+                seen(row, found->second);
+            rows.push_back(std::move(row));
+        }
+    }
+    return rows;
+}
+
+/// \brief A time as "2026-12-02T20:38:40Z".
+[[nodiscard]] std::string utc(std::chrono::sys_seconds when)
 {
-    const std::chrono::sys_seconds when{std::chrono::seconds{unixSeconds}};
     const auto day = std::chrono::floor<std::chrono::days>(when);
     const std::chrono::year_month_day date{day};
     const std::chrono::hh_mm_ss time{when - day};
@@ -167,31 +198,18 @@
     Result result;
     result.columns = {"tenant", "service", "target", "domain",  "state", "weight",
                       "slots",  "owner",   "health", "running", "limit", "connections"};
-    const StatusById statuses = statusById(backend);
-    const ConfigPtr config = backend.config();
-    for (const auto &[serviceId, service] : config->services) {
-        for (const auto &[id, target] : service.targets) {
-            std::vector<std::string> row{service.tenant,
-                                         service.name,
-                                         target.name,
-                                         target.domain,
-                                         std::string(baobabtrail::toString(target.state)),
-                                         text(target.weight),
-                                         text(target.slots),
-                                         ownerName(backend, target)};
-            const auto found = statuses.find(id);
-            if (found == statuses.end()) {
-                row.insert(row.end(), 4, NotKnownHere);
-            } else {
-                const TargetStatus &status = found->second;
-                row.push_back(toString(status.health));
-                row.push_back(text(status.running));
-                row.push_back(oneDecimal(status.concurrencyLimit));
-                row.push_back(text(status.reported.connections));
-            }
-            result.rows.push_back(std::move(row));
-        }
-    }
+    result.rows = targetRows(
+        backend, 4, [](const TargetConfig &) { return true; },
+        [](Row &row, const TargetConfig &target) {
+            row.push_back(text(target.weight));
+            row.push_back(text(target.slots));
+        },
+        [](Row &row, const TargetStatus &status) {
+            row.push_back(toString(status.health));
+            row.push_back(text(status.running));
+            row.push_back(oneDecimal(status.concurrencyLimit));
+            row.push_back(text(status.reported.connections));
+        });
     return result;
 }
 
@@ -224,9 +242,10 @@
                 commands += "; ";
             commands += describe(command);
         }
-        result.rows.push_back({text(record.revision), record.changeId,
-                               record.tenant.empty() ? NotKnownHere : record.tenant, record.author,
-                               utc(record.unixSeconds), commands});
+        result.rows.push_back(
+            {text(record.revision), record.changeId,
+             record.tenant.empty() ? NotKnownHere : record.tenant, record.author,
+             utc(std::chrono::sys_seconds{std::chrono::seconds{record.unixSeconds}}), commands});
     }
     return result;
 }
@@ -236,33 +255,20 @@
     Result result;
     result.columns = {"tenant", "service",     "target",  "domain",  "state",
                       "owner",  "connections", "running", "waiting", "report-age"};
-    const StatusById statuses = statusById(backend);
-    const ConfigPtr config = backend.config();
-    for (const auto &[serviceId, service] : config->services) {
-        for (const auto &[id, target] : service.targets) {
-            if (target.state != TargetState::Draining && target.state != TargetState::Retiring)
-                continue;
-            std::vector<std::string> row{service.tenant,
-                                         service.name,
-                                         target.name,
-                                         target.domain,
-                                         std::string(baobabtrail::toString(target.state)),
-                                         ownerName(backend, target)};
-            const auto found = statuses.find(id);
-            if (found == statuses.end()) {
-                row.insert(row.end(), 4, NotKnownHere);
-            } else {
-                const TargetStatus &status = found->second;
-                const auto age
-                    = std::chrono::duration_cast<std::chrono::milliseconds>(status.reportAge);
-                row.push_back(text(status.reported.connections));
-                row.push_back(text(status.running));
-                row.push_back(text(status.waiting));
-                row.push_back(text(age.count()) + " ms");
-            }
-            result.rows.push_back(std::move(row));
-        }
-    }
+    result.rows = targetRows(
+        backend, 4,
+        [](const TargetConfig &target) {
+            return target.state == TargetState::Draining || target.state == TargetState::Retiring;
+        },
+        [](Row &, const TargetConfig &) {},
+        [](Row &row, const TargetStatus &status) {
+            const auto age
+                = std::chrono::duration_cast<std::chrono::milliseconds>(status.reportAge);
+            row.push_back(text(status.reported.connections));
+            row.push_back(text(status.running));
+            row.push_back(text(status.waiting));
+            row.push_back(text(age.count()) + " ms");
+        });
     return result;
 }
 
