--- a/bench/whole/system.h
+++ b/bench/whole/system.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "support/free_ports.h"
 #include "support/http.h"
 #include "support/process.h"
+#include "support/temporary_directory.h"
+#include "support/wait_until.h"
 #include "whole/plan.h"
 
 #include <boost/asio/ip/udp.hpp>
@@ -17,25 +20,15 @@
 using boost::beast::http::verb;
 using test::callHttp;
 using test::getJson;
+using test::Ports;
 using test::Process;
+using test::waitUntil;
 
 [[nodiscard]] inline std::string local(std::uint16_t port)
 {
     return "127.0.0.1:" + std::to_string(port);
 }
 
-/// \brief Waits until a condition holds. \throws std::runtime_error after 30 s.
-inline void waitUntil(const std::string &what, const std::function<bool()> &condition)
-{
-    using namespace std::chrono_literals;
-    const auto end = std::chrono::steady_clock::now() + 30s;
-    while (!condition()) {
-        if (std::chrono::steady_clock::now() > end)
-            throw std::runtime_error("waited too long for " + what);
-        std::this_thread::sleep_for(20ms);
-    }
-}
-
 /// \brief A deployment as real processes on loopback.
 class System
 {
@@ -44,10 +37,9 @@
     System(DeploymentPlan plan, const RunPlan &run, std::string daemonProgram)
         : m_plan(std::move(plan))
         , m_daemonProgram(std::move(daemonProgram))
-        , m_directory(makeDirectory())
     {
-        writeSecret("cluster.secret");
-        writeSecret("operator.key");
+        m_directory.writeSecret("cluster.secret", std::string(40, 's'));
+        m_directory.writeSecret("operator.key", std::string(40, 'o'));
         for (std::size_t i = 0; i < m_plan.daemons; ++i)
             m_daemons.push_back(startDaemon(i + 1, i));
         startTargets(run);
@@ -55,7 +47,6 @@
         declare();
     }
 
-    ~System() { std::filesystem::remove_all(m_directory); }
     System(const System &) = delete;
     System &operator=(const System &) = delete;
 
@@ -133,45 +124,16 @@
     [[nodiscard]] const DeploymentPlan &plan() const noexcept { return m_plan; }
 
 private:
-    using Ports = std::vector<std::uint16_t>; // data, peer, records, administration
     struct Daemon
     {
         std::size_t id = 0;
-        Ports ports;
+        Ports ports; ///< Data, peer, records, administration.
         std::unique_ptr<Process> process;
     };
 
-    [[nodiscard]] static std::filesystem::path makeDirectory()
-    {
-        std::string name = std::filesystem::temp_directory_path() / "baobabtrail-XXXXXX";
-        if (!mkdtemp(name.data()))
-            throw std::runtime_error("no temporary directory");
-        return name;
-    }
-
-    [[nodiscard]] std::string file(const std::string &name) const { return m_directory / name; }
+    [[nodiscard]] std::string file(const std::string &name) const { return m_directory.file(name); }
     [[nodiscard]] std::uint16_t platformPort() const { return m_platform.ports().at("http"); }
 
-    void writeSecret(const std::string &name) const
-    {
-        using std::filesystem::perms;
-        std::ofstream{file(name)} << std::string(40, 's');
-        std::filesystem::permissions(file(name), perms::owner_read | perms::owner_write);
-    }
-
-    [[nodiscard]] static Ports freePorts()
-    {
-        boost::asio::io_context context;
-        std::vector<boost::asio::ip::udp::socket> held;
-        Ports ports;
-        while (ports.size() < 4) {
-            const auto loopback = boost::asio::ip::address_v4::loopback();
-            held.emplace_back(context, boost::asio::ip::udp::endpoint{loopback, 0});
-            ports.push_back(held.back().local_endpoint().port());
-        }
-        return ports;
-    }
-
     [[nodiscard]] const std::string &domainOf(std::size_t index) const
     {
         return m_plan.domains.at(index % m_plan.domains.size());
@@ -197,7 +159,7 @@
 
     [[nodiscard]] Daemon startDaemon(std::size_t id, std::size_t place)
     {
-        Daemon daemon{id, freePorts(), nullptr};
+        Daemon daemon{id, test::freePorts(4), nullptr};
         const std::string name = std::to_string(id);
         const std::string &domain = domainOf(place);
         const boost::json::value settings{
@@ -221,12 +183,8 @@
             m_daemonProgram, std::vector{"--settings=" + file(name + ".json")},
             Process::Output::Hidden);
         waitUntil("daemon " + name, [&] {
-            try {
-                callHttp(verb::get, daemon.ports.at(3), "/healthz");
-                return true;
-            } catch (const std::exception &) {
-                return false;
-            }
+            callHttp(verb::get, daemon.ports.at(3), "/healthz");
+            return true;
         });
         setMember(verb::put, daemon.ports);
         return daemon;
@@ -277,7 +235,7 @@
 
     DeploymentPlan m_plan;
     std::string m_daemonProgram;
-    std::filesystem::path m_directory;
+    test::TemporaryDirectory m_directory;
     Process m_platform{"standin-platform", {"--vm_lag_ms=500"}};
     Process m_fabric{"standin-fabric", {}};
     std::vector<Daemon> m_daemons;
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -3,8 +3,11 @@
 /// \file
 /// \brief A small deployment of real processes on loopback.
 
+#include "support/free_ports.h"
 #include "support/http.h"
 #include "support/process.h"
+#include "support/temporary_directory.h"
+#include "support/wait_until.h"
 
 #include <boost/asio/ip/udp.hpp>
 
@@ -18,50 +21,6 @@
 
 namespace baobabtrail::test {
 
-/// \brief Waits for a condition; a condition that throws counts as not yet true.
-inline void waitUntil(const std::string &what, const std::function<bool()> &condition)
-{
-    using namespace std::chrono_literals;
-    const auto deadline = std::chrono::steady_clock::now() + 30s;
-    while (std::chrono::steady_clock::now() < deadline) {
-        try {
-            if (condition())
-                return;
-        } catch (const std::exception &) {
-            // The process that is asked does not answer yet.
-        }
-        std::this_thread::sleep_for(20ms); // between two looks, not instead of one
-    }
-    throw std::runtime_error("waited too long for " + what);
-}
-
-/// \brief A directory that goes with its owner.
-class TemporaryDirectory
-{
-public:
-    TemporaryDirectory()
-    {
-        std::string name = std::filesystem::temp_directory_path() / "baobabtrail-XXXXXX";
-        if (!mkdtemp(name.data()))
-            throw std::runtime_error("no temporary directory");
-        m_path = name;
-    }
-    ~TemporaryDirectory() { std::filesystem::remove_all(m_path); }
-    TemporaryDirectory(const TemporaryDirectory &) = delete;
-    TemporaryDirectory &operator=(const TemporaryDirectory &) = delete;
-
-    [[nodiscard]] std::string file(const std::string &name) const { return m_path / name; }
-    void writeSecret(const std::string &name, const std::string &content) const
-    {
-        std::ofstream{file(name)} << content;
-        std::filesystem::permissions(file(name), std::filesystem::perms::owner_read
-                                                     | std::filesystem::perms::owner_write);
-    }
-
-private:
-    std::filesystem::path m_path;
-};
-
 /// \brief Platform, fabric, daemons of one failure domain, and targets of alexandria/lending, which
 /// are declared and in force on every daemon when the constructor returns.
 class Deployment
@@ -123,37 +82,6 @@
         return "127.0.0.1:" + std::to_string(port);
     }
 
-    [[nodiscard]] static bool isFree(std::uint16_t port)
-    {
-        boost::asio::io_context context;
-        boost::system::error_code error;
-        const auto loopback = boost::asio::ip::address_v4::loopback();
-        boost::asio::ip::udp::socket udp{context, boost::asio::ip::udp::v4()};
-        udp.bind({loopback, port}, error);
-        if (error)
-            return false;
-        boost::asio::ip::tcp::socket tcp{context, boost::asio::ip::tcp::v4()};
-        tcp.bind({loopback, port}, error);
-        return !error;
-    }
-
-    /// \brief Finds ports that are free for TCP and UDP, below those that the kernel hands out:
-    /// one of these could be taken by any socket before the daemon binds it.
-    [[nodiscard]] static Ports freePorts(std::size_t count)
-    {
-        constexpr int First = 20000;
-        constexpr int Span = 12000;
-        constexpr int Stride = 61;
-        static int next = static_cast<int>(getpid()) * Stride;
-        Ports ports;
-        while (ports.size() < count) {
-            const auto port = static_cast<std::uint16_t>(First + next++ % Span);
-            if (isFree(port))
-                ports.push_back(port);
-        }
-        return ports;
-    }
-
     void startDaemon(std::size_t index)
     {
         m_ports.push_back(freePorts(4));
--- /dev/null
+++ b/tests/support/wait_until.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <stdexcept>
+#include <string>
+#include <thread>
+
+namespace baobabtrail::test {
+
+/// \brief Waits for a condition; a condition that throws counts as not yet true.
+inline void waitUntil(const std::string &what, const std::function<bool()> &condition)
+{
+    using namespace std::chrono_literals;
+    const auto deadline = std::chrono::steady_clock::now() + 30s;
+    while (std::chrono::steady_clock::now() < deadline) {
+        try {
+            if (condition())
+                return;
+        } catch (const std::exception &) {
+            // The process that is asked does not answer yet.
+        }
+        std::this_thread::sleep_for(20ms); // between two looks, not instead of one
+    }
+    throw std::runtime_error("waited too long for " + what);
+}
+
+} // namespace baobabtrail::test
