--- a/scripts/empty.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-// Stands in for a part that has no source file yet.
