--- a/src/core/requests/dispatcher.cpp
+++ b/src/core/requests/dispatcher.cpp
@@ -171,12 +171,8 @@
     // can't run to its end in time would end as unknown, where "not run" can still be said.
     if (timeLeft <= line.usualRun) {
         // Nothing is learnt from what isn't started: a target that was slow once would be refused
-        // for ever. A queue that empties at once must not make it forget all it knows, or the last
-        // ones of it are started too late.
-        if (turn.now >= line.forgetFrom) {
-            line.usualRun -= line.usualRun / RefusalsToForget;
-            line.forgetFrom = turn.now + line.usualRun;
-        }
+        // for ever.
+        line.usualRun -= line.usualRun / RefusalsToForget;
         return m_outcomes.notRun(record, RefusalCause::DeadlinePassed, Duration{0}, turn);
     }
     const AttemptId attempt{m_nextAttempt++};
--- a/src/core/requests/dispatcher.h
+++ b/src/core/requests/dispatcher.h
@@ -56,7 +56,6 @@
         std::uint32_t running = 0;
         std::uint32_t slots = 1;
         Duration usualRun{0};               ///< Mean time of the last attempts.
-        TimePoint forgetFrom{};             ///< When a refusal may lower it again.
         std::optional<TimePoint> shutSince; ///< Takes no new work since then.
     };
 
