--- a/tests/control/distribute_test.cpp
+++ b/tests/control/distribute_test.cpp
@@ -1,20 +1,10 @@
 #include "support/cluster.h"
 
-#include <criterion/criterion.h>
+#include "support/expect_sound.h" // With Criterion, which has to come after Boost.
 
 using namespace baobabtrail;
 using namespace baobabtrail::test;
 
-namespace {
-
-void expectSound(const Cluster &net, const std::string &cell)
-{
-    const std::string problems = net.problems();
-    cr_expect(problems.empty(), "%s:%s", cell.c_str(), problems.c_str());
-}
-
-} // namespace
-
 // A change is accepted while one step of its way to the daemons fails for all of them and for as
 // long as it takes: watches, lists, notices between daemons, fetches. The other steps must make up.
 Test(distribute, everyFaultAtEveryStepIsMadeUpFor)
--- a/tests/control/watcher_test.cpp
+++ b/tests/control/watcher_test.cpp
@@ -3,21 +3,11 @@
 #include "support/cluster.h"
 #include "support/seal_anew.h"
 
-#include <criterion/criterion.h>
+#include "support/expect_sound.h" // With Criterion, which has to come after Boost.
 
 using namespace baobabtrail;
 using namespace baobabtrail::test;
 
-namespace {
-
-void expectSound(const Cluster &net, const std::string &cell)
-{
-    const std::string problems = net.problems();
-    cr_expect(problems.empty(), "%s:%s", cell.c_str(), problems.c_str());
-}
-
-} // namespace
-
 // A watch leaves out the first of two changes, and peers can't be heard. The second one shows that
 // something is missing: the watcher must read it then, not at the next list.
 Test(watcher, skippedObjectIsReadOnceTheNextOneShowsTheGap)
