Take changed settings without a signal; show and top on daemons with direct forwarding

Cause: the platform may change a settings file without any signal; daemons read it at SIGHUP only and would have kept the old store address and roots. Now they look at its text each 2 s. settingsThatChangeWithoutASignalAreTaken fails without the look (9.0 s, no answer) and passes with it.

Also: packets that are none get a log line with sender and byte (they were only counted); baobabtrail_events_total{event="log_line_left_out"} was always 0; two kinds of notices shared a wrong key of the log's bound.

baobabctl show and top work at the metrics address. The three walk-throughs of OPERATIONS, and what is left out of the log, are tests that produce their lines (tests/explain). The lines start and ready moved to DirectLog for that.

--- a/src/core/direct/direct_node.h
+++ b/src/core/direct/direct_node.h
@@ -140,6 +140,7 @@
     [[nodiscard]] std::optional<Duration> viewAge() const;
     [[nodiscard]] bool fresh() const;
     [[nodiscard]] bool isRoot() const noexcept { return m_isRoot; }
+    [[nodiscard]] const std::vector<Endpoint> &roots() const noexcept { return m_roots; }
     [[nodiscard]] const DirectRouter &router() const noexcept { return m_router; }
     /// \return Segments that wait for the directory.
     [[nodiscard]] std::size_t waiting() const noexcept { return m_waiting.size(); }
--- a/src/core/requests/dispatcher.cpp
+++ b/src/core/requests/dispatcher.cpp
@@ -182,8 +182,9 @@
 }
 
 // While a target passes from one owner to another, both fill its slots, the old one even before it
-// knows; what is sent then waits behind the other's work. Without that wait, requests were sent with
-// less time left than they needed and ended as unknown. The target's own report shows the others.
+// knows; what is sent then waits behind the other's work. Without that wait, requests were sent
+// with less time left than they needed and ended as unknown. The target's own report shows the
+// others.
 Duration Dispatcher::timeNeeded(const Line &line) const noexcept
 {
     const std::uint32_t ahead = line.foreign > 0 ? line.foreign + line.running : 0;
--- a/src/core/requests/dispatcher.h
+++ b/src/core/requests/dispatcher.h
@@ -55,7 +55,7 @@
         WaitingLine waiting;
         std::uint32_t running = 0;
         std::uint32_t slots = 1;
-        std::uint32_t foreign = 0; ///< Work of others at the target, by its last report.
+        std::uint32_t foreign = 0;          ///< Work of others at the target, by its last report.
         Duration usualRun{0};               ///< Mean time of the last attempts.
         std::optional<TimePoint> shutSince; ///< Takes no new work since then.
     };
--- a/src/ctl/top.cpp
+++ b/src/ctl/top.cpp
@@ -10,10 +10,13 @@
 namespace {
 
 constexpr std::string_view Prefix = "baobabtrail_";
-constexpr std::array<std::string_view, 11> Shown{
-    "config_revision", "config_age_seconds", "members_alive",         "owned_targets",
-    "requests_held",   "running_attempts",   "owned_imbalance",       "requests_total",
-    "flows_total",     "flow_resets_total",  "request_refusals_total"};
+/// Of daemons of either kind; a page has those of its own.
+constexpr std::array<std::string_view, 18> Shown{
+    "config_revision", "config_age_seconds", "members_alive",          "owned_targets",
+    "requests_held",   "running_attempts",   "owned_imbalance",        "requests_total",
+    "flows_total",     "flow_resets_total",  "request_refusals_total", "ready",
+    "config_version",  "view_revision",      "view_age_seconds",       "flows",
+    "followers",       "segments_total"};
 constexpr std::size_t MostTargets = 20;
 
 [[nodiscard]] bool isShown(std::string_view name)
--- a/src/daemon/direct/direct_daemon.cpp
+++ b/src/daemon/direct/direct_daemon.cpp
@@ -1,6 +1,8 @@
 #include "daemon/direct/direct_daemon.h"
 
+#include "daemon/admin/statement_body.h"
 #include "daemon/clock.h"
+#include "daemon/direct/direct_tables.h"
 #include "daemon/settings/settings_reader.h"
 #include "platform/packet_form.h"
 #include "platform/registry_form.h"
@@ -23,6 +25,9 @@
 constexpr Duration ClientRestart = 100ms;
 constexpr int HttpVersion = 11;
 constexpr Duration ClockPeriod = 500ms;
+/// Between two looks at the settings file: three system calls each, and soon enough for a store
+/// that has moved, since a view serves on for longer.
+constexpr Duration SettingsPeriod = 2s;
 /// A timer that is later than this, or a clock that has moved on by as much more than the other
 /// one, means that the process stood still: half of the time in which a change has to be in force.
 constexpr Duration LongestPause = 1500ms;
@@ -35,13 +40,13 @@
 
 } // namespace
 
-DirectDaemon::DirectDaemon(DirectDaemonSettings settings, std::filesystem::path file,
-                           std::uint64_t seed)
+DirectDaemon::DirectDaemon(DirectDaemonSettings settings, SettingsFile file, std::uint64_t seed)
     : m_settings(std::move(settings))
     , m_file(std::move(file))
     , m_seed(seed)
     , m_log(m_settings.log.linesPerSecond)
     , m_clockTimer(m_context)
+    , m_settingsTimer(m_context)
     , m_stopTimer(m_context)
     , m_quiet(m_context)
     , m_network("network", m_settings.restarts, runtime())
@@ -58,11 +63,8 @@
 
 ExitStatus DirectDaemon::run()
 {
-    writeEvent(LogEvent{Severity::Info, Part::Daemon, "start"}
-                   .field("name", m_settings.name)
-                   .field("domain", m_settings.domain)
-                   .field("packets", m_settings.addresses.packets)
-                   .field("store", m_settings.store.platform));
+    m_log.started(m_settings.name, m_settings.domain, m_settings.addresses.packets,
+                  m_settings.store.platform);
     m_root.start([this](const std::string &why) {
         writeEvent(LogEvent{Severity::Error, Part::Daemon, "gives_up"}.field("why", why));
         finish(ExitStatus::Failed);
@@ -81,6 +83,8 @@
     m_root.add(m_http.asChild());
     m_root.add({"clocks", [this](const FailureHandler &) { watchClocks(); },
                 [this] { m_clockTimer.cancel(); }});
+    m_root.add({"settings", [this](const FailureHandler &) { watchSettings(); },
+                [this] { m_settingsTimer.cancel(); }});
     m_root.add(ownerOf("signals", m_signals, [this](const FailureHandler &) { startSignals(); }));
 }
 
@@ -89,7 +93,8 @@
     m_network.add(ownerOf("packet socket", m_packets, [this](const FailureHandler &failed) {
         m_packets = std::make_unique<UdpSocket>(
             m_context, m_settings.addresses.packets, m_settings.sockets, m_metrics.packets,
-            [this](const Endpoint &, std::string_view bytes) { fromCaller(bytes); }, failed);
+            [this](const Endpoint &sender, std::string_view bytes) { fromCaller(sender, bytes); },
+            failed);
     }));
     m_network.add(ownerOf("store", m_store, [this](const FailureHandler &) {
         m_store = std::make_unique<PlatformClient>(m_context, m_settings.store);
@@ -119,7 +124,7 @@
     };
     const DirectAddresses &addresses = m_settings.addresses;
     add("readiness", m_readiness, addresses.readiness, at(&DirectDaemon::readiness));
-    add("metrics", m_metricsServer, addresses.metrics, at(&DirectDaemon::metricsPage));
+    add("metrics", m_metricsServer, addresses.metrics, at(&DirectDaemon::administration));
     add("peer questions", m_peerServer, addresses.peers,
         [this](const HttpRequest &request, const HttpServer::Respond &respond) {
             answerPeer(request, respond);
@@ -164,13 +169,7 @@
         m_metrics.stoodStill += std::holds_alternative<StoodStill>(notice);
         m_log.write(notice, monotonicNow());
     };
-    ports.ready = [this] {
-        writeEvent(LogEvent{Severity::Info, Part::Daemon, "ready"}
-                       .field("config", m_node->router().routes().version)
-                       .field("revision", m_node->version().value())
-                       .field("root", m_node->isRoot())
-                       .field("waiting", m_node->waiting()));
-    };
+    ports.ready = [this] { m_log.ready(*m_node); };
     ports.carry = [this](const Segment &segment, const std::string &payload,
                          const SegmentVerdict &verdict) { carry(segment, payload, verdict); };
     return ports;
@@ -233,11 +232,12 @@
     });
 }
 
-void DirectDaemon::fromCaller(std::string_view bytes)
+void DirectDaemon::fromCaller(const Endpoint &sender, std::string_view bytes)
 {
     const platform::ReadPacket packet = platform::readPacket(bytes);
     if (packet.error != platform::PacketError::None) {
         ++m_metrics.packetsRefused;
+        m_log.refusedPacket(sender, bytes.size(), platform::toText(packet.error), monotonicNow());
         return;
     }
     if (const auto verdict = m_node->handle(packet.segment, bytes))
@@ -270,11 +270,23 @@
     return {200, "text/plain", "ready\n"};
 }
 
-HttpReply DirectDaemon::metricsPage(const HttpRequest &request) const
+// Statements that show something need no key here: the page of metrics at the same address tells as
+// much, and nothing can be changed.
+HttpReply DirectDaemon::administration(const HttpRequest &request) const
 {
-    if (request.path != "/metrics" || !m_node)
+    if (!m_node)
+        return {503, "text/plain", "not ready\n"};
+    const auto metrics = [this] { return m_metrics.page(*m_node, m_log.leftOut()); };
+    if (request.path == "/metrics")
+        return {200, "text/plain; version=0.0.4", metrics()};
+    if (request.path != StatementPath)
         return {404, "text/plain", "not found\n"};
-    return {200, "text/plain; version=0.0.4", m_metrics.page(*m_node)};
+    const auto body = readStatementBody(request.body);
+    if (const auto *finding = std::get_if<std::string>(&body))
+        return usageReply(400, *finding);
+    const DirectBackend backend{m_settings.name, m_settings.domain, m_settings.addresses.peers,
+                                m_node.get(),    monotonicNow(),    metrics};
+    return resultReply(200, executeDirect(backend, std::get<language::Request>(body).text));
 }
 
 void DirectDaemon::watchClocks()
@@ -306,16 +318,29 @@
         if (error)
             return;
         if (signal == SIGHUP)
-            reload();
+            reload(m_file.read(), "signal");
         else
             stop();
         waitForSignal();
     });
 }
 
-void DirectDaemon::reload()
+// The file may change without a signal; a daemon that went on with its old roots or the store's old
+// address would lose both, one after the other.
+void DirectDaemon::watchSettings()
+{
+    m_settingsTimer.expires_after(SettingsPeriod);
+    m_settingsTimer.async_wait([this](boost::system::error_code error) {
+        if (error)
+            return;
+        if (const auto settings = m_file.changed())
+            reload(*settings, "the file has changed");
+        watchSettings();
+    });
+}
+
+void DirectDaemon::reload(const AnySettings &read, std::string_view reason)
 {
-    const AnySettings read = readAnySettingsFile(m_file);
     if (const auto *findings = std::get_if<Findings>(&read)) {
         for (const Finding &finding : *findings)
             writeEvent(LogEvent{Severity::Error, Part::Daemon, "reload_refused"}
@@ -342,7 +367,10 @@
         m_store = std::make_unique<PlatformClient>(m_context, m_settings.store);
         m_node->stoodStill(Duration{0});
     }
-    writeEvent(LogEvent{Severity::Info, Part::Daemon, "reload"}.field("store_moved", moved));
+    writeEvent(LogEvent{Severity::Info, Part::Daemon, "reload"}
+                   .field("reason", reason)
+                   .field("store_moved", moved)
+                   .field("roots", m_settings.roots.size()));
 }
 
 void DirectDaemon::stop()
--- a/src/daemon/direct/direct_daemon.h
+++ b/src/daemon/direct/direct_daemon.h
@@ -8,6 +8,7 @@
 #include "daemon/exit_status.h"
 #include "daemon/net/udp_socket.h"
 #include "daemon/quiet_wait.h"
+#include "daemon/settings/settings_file.h"
 #include "daemon/supervisor/asio_runtime.h"
 #include "store/client.h"
 
@@ -15,7 +16,6 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <filesystem>
 #include <memory>
 
 namespace baobabtrail::daemon {
@@ -28,12 +28,14 @@
 ///     ├── node      directory and router
 ///     ├── http      readiness, metrics, questions of other daemons
 ///     ├── clocks    notices when the process stood still
+///     ├── settings  notices when the file has changed
 ///     └── signals
 class DirectDaemon
 {
 public:
-    /// \param file Read again on SIGHUP. \param seed Seed of every random choice.
-    DirectDaemon(DirectDaemonSettings settings, std::filesystem::path file, std::uint64_t seed);
+    /// \param file Read again on SIGHUP and where it changes. \param seed Seed of every random
+    /// choice.
+    DirectDaemon(DirectDaemonSettings settings, SettingsFile file, std::uint64_t seed);
     ~DirectDaemon();
     DirectDaemon(const DirectDaemon &) = delete;
     DirectDaemon &operator=(const DirectDaemon &) = delete;
@@ -49,8 +51,9 @@
     void startSignals();
     void waitForSignal();
     void watchClocks();
+    void watchSettings();
 
-    void fromCaller(std::string_view bytes);
+    void fromCaller(const Endpoint &sender, std::string_view bytes);
     void carry(const Segment &segment, std::string_view bytes, const SegmentVerdict &verdict);
     [[nodiscard]] DirectPorts ports();
     void callStore(const PlatformRequest &request, std::function<void(PlatformResult)> done);
@@ -58,16 +61,16 @@
                  std::function<void(PeerReply)> done);
     void answerPeer(const HttpRequest &request, const HttpServer::Respond &respond);
     [[nodiscard]] HttpReply readiness(const HttpRequest &request) const;
-    [[nodiscard]] HttpReply metricsPage(const HttpRequest &request) const;
+    [[nodiscard]] HttpReply administration(const HttpRequest &request) const;
     [[nodiscard]] SupervisorRuntime runtime();
 
-    void reload();
+    void reload(const AnySettings &read, std::string_view reason);
     void stop();
     void finish(ExitStatus status);
 
     boost::asio::io_context m_context{1};
     DirectDaemonSettings m_settings;
-    std::filesystem::path m_file;
+    SettingsFile m_file;
     std::uint64_t m_seed;
     DirectMetrics m_metrics;
     DirectLog m_log;
@@ -82,6 +85,7 @@
     std::unique_ptr<boost::asio::signal_set> m_signals;
 
     boost::asio::steady_timer m_clockTimer;
+    boost::asio::steady_timer m_settingsTimer;
     boost::asio::steady_timer m_stopTimer;
     QuietWait m_quiet;
     bool m_stopping = false;
--- a/src/daemon/direct/direct_log.cpp
+++ b/src/daemon/direct/direct_log.cpp
@@ -132,7 +132,25 @@
     LogEvent event = make();
     if (*before > 0)
         event.field("left_out", *before);
-    writeEvent(event);
+    m_out(event);
+}
+
+void DirectLog::started(const std::string &name, const std::string &domain, const Endpoint &packets,
+                        const Endpoint &store)
+{
+    LogEvent event{Severity::Info, Part::Daemon, "start"};
+    event.field("name", name).field("domain", domain).field("packets", packets);
+    m_out(event.field("store", store));
+}
+
+void DirectLog::ready(const DirectNode &node)
+{
+    LogEvent event{Severity::Info, Part::Daemon, "ready"};
+    event.field("config", node.router().routes().version)
+        .field("revision", node.version().value())
+        .field("root", node.isRoot())
+        .field("waiting", node.waiting());
+    m_out(event);
 }
 
 void DirectLog::write(const SegmentDecision &decision, const DirectNode &node, TimePoint now)
@@ -189,10 +207,24 @@
 void DirectLog::write(const NodeNotice &notice, TimePoint now)
 {
     constexpr std::array<std::string_view, std::variant_size_v<NodeNotice>> kinds{
-        "routes_in_force", "object_refused", "store_contact",
-        "peer_contact",    "history_lost",   "stood_still"};
+        "routes_in_force", "object_refused", "store_contact", "peer_contact",
+        "history_lost",    "waiting_full",   "stood_still"};
     admit(Part::Daemon, kinds[notice.index()], now,
           [&] { return std::visit(NoticeLine{}, notice); });
 }
 
+void DirectLog::refusedPacket(const Endpoint &sender, std::size_t bytes, std::string_view finding,
+                              TimePoint now)
+{
+    constexpr std::string_view kind = "packet_refused";
+    admit(Part::Flows, kind, now, [&] {
+        LogEvent event{Severity::Warning, Part::Flows, kind};
+        event.field("sender", sender)
+            .field("bytes", bytes)
+            .field("finding", finding)
+            .field("outcome", "dropped");
+        return event;
+    });
+}
+
 } // namespace baobabtrail::daemon
--- a/src/daemon/direct/direct_log.h
+++ b/src/daemon/direct/direct_log.h
@@ -4,6 +4,10 @@
 #include "daemon/log/log_event.h"
 #include "daemon/log/log_limiter.h"
 
+#include <functional>
+#include <string>
+#include <utility>
+
 namespace baobabtrail::daemon {
 
 /// \brief Writes what a DirectNode decides and believes, a bounded number of lines of each kind.
@@ -13,17 +17,30 @@
 class DirectLog
 {
 public:
-    explicit DirectLog(std::uint32_t linesPerSecond) noexcept
+    using Out = std::function<void(const LogEvent &)>;
+
+    /// \param out Takes each line; standard output unless told otherwise.
+    explicit DirectLog(std::uint32_t linesPerSecond, Out out = writeEvent)
         : m_limiter(linesPerSecond)
+        , m_out(std::move(out))
     {
     }
 
+    /// \brief The process has started. \param store Address of the platform's store.
+    void started(const std::string &name, const std::string &domain, const Endpoint &packets,
+                 const Endpoint &store);
+    /// \brief The directory is complete; traffic is taken from now on.
+    void ready(const DirectNode &node);
     void write(const SegmentDecision &decision, const DirectNode &node, TimePoint now);
     /// \brief Writes times that are unusual; all of them are in the histograms.
     void write(const FlowMeasured &measured, const DirectNode &node, TimePoint now);
     void write(const BeliefChange &change, const DirectNode &node, TimePoint now);
     void write(const NodeNotice &notice, TimePoint now);
 
+    /// \brief Writes that a datagram is no packet of a caller. \param finding What, and where.
+    void refusedPacket(const Endpoint &sender, std::size_t bytes, std::string_view finding,
+                       TimePoint now);
+
     /// \return Lines that were left out so far.
     [[nodiscard]] std::uint64_t leftOut() const noexcept { return m_leftOut; }
 
@@ -33,6 +50,7 @@
                const std::function<LogEvent()> &make);
 
     LogLimiter m_limiter;
+    Out m_out;
     std::uint64_t m_leftOut = 0;
 };
 
--- a/src/daemon/direct/direct_metrics.cpp
+++ b/src/daemon/direct/direct_metrics.cpp
@@ -40,10 +40,11 @@
     service.times[static_cast<std::size_t>(measured.time)].add(measured.took);
 }
 
-std::string DirectMetrics::page(const DirectNode &node) const
+std::string DirectMetrics::page(const DirectNode &node, std::uint64_t logLinesLeftOut) const
 {
     Exposition page;
     writeNode(page, node);
+    writeEvents(page, logLinesLeftOut);
     writeServices(page);
     writeSocket(page);
     page.family("baobabtrail_store_calls_total", "counter", "Calls to the store, by result.");
@@ -79,19 +80,26 @@
     page.family("baobabtrail_targets", "gauge", "Targets, by what is believed of them.");
     for (std::size_t index = 0; index < beliefs.size(); ++index)
         page.sample({{"belief", TargetBeliefNames[index]}}, number(beliefs[index]));
-    page.family("baobabtrail_events_total", "counter", "Events of the daemon's parts.");
-    page.sample({{"event", "packet_refused"}}, number(packetsRefused));
-    page.sample({{"event", "object_refused"}}, number(objectsRefused));
-    page.sample({{"event", "log_line_left_out"}}, number(logLinesLeftOut));
-    page.sample({{"event", "stood_still"}}, number(stoodStill));
-    page.sample({{"event", "packet_delayed"}}, number(packetsDelayed));
-    page.sample({{"event", "peer_answered"}}, number(peersAnswered));
-    page.sample({{"event", "peer_failed"}}, number(peersFailed));
-    page.sample({{"event", "peer_served"}}, number(peersServed));
     writeOne(page, "baobabtrail_followers", "gauge", "Daemons that have their copies from here.",
              number(node.relay().followers()));
 }
 
+void DirectMetrics::writeEvents(Exposition &page, std::uint64_t logLinesLeftOut) const
+{
+    page.family("baobabtrail_events_total", "counter", "Events of the daemon's parts.");
+    const auto event = [&page](std::string_view name, std::uint64_t count) {
+        page.sample({{"event", name}}, static_cast<double>(count));
+    };
+    event("packet_refused", packetsRefused);
+    event("object_refused", objectsRefused);
+    event("log_line_left_out", logLinesLeftOut);
+    event("stood_still", stoodStill);
+    event("packet_delayed", packetsDelayed);
+    event("peer_answered", peersAnswered);
+    event("peer_failed", peersFailed);
+    event("peer_served", peersServed);
+}
+
 void DirectMetrics::writeServices(Exposition &page) const
 {
     page.family("baobabtrail_segments_total", "counter", "Segments of callers, by decision.");
--- a/src/daemon/direct/direct_metrics.h
+++ b/src/daemon/direct/direct_metrics.h
@@ -39,13 +39,12 @@
     void decided(const SegmentDecision &decision, const RouteTable &routes);
     void measured(const FlowMeasured &measured, const RouteTable &routes);
 
-    /// \return The metrics page.
-    [[nodiscard]] std::string page(const DirectNode &node) const;
+    /// \return The metrics page. \param logLinesLeftOut So far.
+    [[nodiscard]] std::string page(const DirectNode &node, std::uint64_t logLinesLeftOut) const;
 
     SocketCounters packets;
     std::uint64_t packetsRefused = 0; ///< Datagrams that are no packets.
     std::uint64_t objectsRefused = 0; ///< Objects of the store that can't be used.
-    std::uint64_t logLinesLeftOut = 0;
     std::uint64_t stoodStill = 0;
     std::uint64_t packetsDelayed = 0; ///< Waited for the directory.
     std::uint64_t peersAnswered = 0;  ///< Questions of this daemon.
@@ -62,6 +61,7 @@
 
     [[nodiscard]] Service &entryOf(ServiceId service, const RouteTable &routes);
     void writeNode(Exposition &page, const DirectNode &node) const;
+    void writeEvents(Exposition &page, std::uint64_t logLinesLeftOut) const;
     void writeServices(Exposition &page) const;
     void writeSocket(Exposition &page) const;
 
--- /dev/null
+++ b/src/daemon/direct/direct_tables.cpp
@@ -0,0 +1,187 @@
+#include "daemon/direct/direct_tables.h"
+
+#include "daemon/direct/direct_metrics.h"
+#include "language/filter_rows.h"
+#include "language/parse.h"
+
+#include <array>
+#include <cstdio>
+#include <map>
+
+namespace baobabtrail::daemon {
+
+namespace {
+
+using language::Result;
+using language::Status;
+using Row = std::vector<std::string>;
+
+constexpr const char *NotKnown = "-";
+
+[[nodiscard]] std::string milliseconds(Duration time)
+{
+    std::array<char, 32> text{};
+    const double value = std::chrono::duration<double, std::milli>(time).count();
+    (void)std::snprintf(text.data(), text.size(), "%.1f", value);
+    return text.data();
+}
+
+template <typename Number>
+[[nodiscard]] std::string text(Number number)
+{
+    return std::to_string(number);
+}
+
+[[nodiscard]] std::string serviceName(const DirectNode &node, ServiceId service)
+{
+    const auto &names = node.router().routes().serviceNames;
+    const auto found = names.find(service);
+    return found == names.end() ? NotKnown : found->second;
+}
+
+[[nodiscard]] bool leaves(TargetBelief belief) noexcept
+{
+    return belief == TargetBelief::Draining || belief == TargetBelief::Lapsed
+           || belief == TargetBelief::Gone;
+}
+
+[[nodiscard]] Result targetsTable(const DirectBackend &backend, bool leavingOnly)
+{
+    Result result;
+    result.columns = {"service", "target", "domain",     "state",     "slots",    "running",
+                      "opening", "flows",  "unanswered", "answer-ms", "heard-ms", "address"};
+    const DirectNode &node = *backend.node;
+    std::map<std::string, Row> sorted;
+    for (const auto &[id, target] : node.router().targets().all()) {
+        const TargetBelief belief = node.router().targets().belief(target);
+        if (leavingOnly && !leaves(belief))
+            continue;
+        const std::string service = serviceName(node, target.entry.service);
+        const Duration answer{static_cast<Duration::rep>(target.answerMicros)};
+        sorted[service + '/' + target.entry.name]
+            = {service,
+               target.entry.name,
+               target.entry.domain,
+               std::string{nameOf(belief)},
+               text(target.entry.slots),
+               text(target.inFlight),
+               text(target.opening),
+               text(target.openFlows),
+               text(target.unanswered),
+               target.answerMicros > 0 ? milliseconds(answer) : NotKnown,
+               target.heardAt ? milliseconds(backend.now - *target.heardAt) : NotKnown,
+               toString(target.entry.address)};
+    }
+    for (auto &[key, row] : sorted)
+        result.rows.push_back(std::move(row));
+    return result;
+}
+
+[[nodiscard]] Result servicesTable(const DirectBackend &backend)
+{
+    const RouteTable &routes = backend.node->router().routes();
+    std::map<ServiceId, std::size_t> routesOf;
+    std::map<ServiceId, std::size_t> targetsOf;
+    std::map<ServiceId, std::size_t> trustedOf;
+    for (const auto &[address, route] : routes.routes) {
+        for (const RouteShare &share : route.shares)
+            ++routesOf[share.service];
+    }
+    const DirectTargets &targets = backend.node->router().targets();
+    for (const auto &[id, target] : targets.all()) {
+        ++targetsOf[target.entry.service];
+        trustedOf[target.entry.service] += targets.belief(target) == TargetBelief::Trusted;
+    }
+    Result result;
+    result.columns = {"service", "routes", "targets", "trusted"};
+    for (const auto &[service, name] : routes.serviceNames)
+        result.rows.push_back(
+            {name, text(routesOf[service]), text(targetsOf[service]), text(trustedOf[service])});
+    return result;
+}
+
+[[nodiscard]] Result daemonsTable(const DirectBackend &backend)
+{
+    Result result;
+    result.columns = {"daemon",    "domain", "role",     "address", "ready",
+                      "followers", "config", "revision", "fresh",   "age-ms"};
+    const DirectNode &node = *backend.node;
+    const auto age = node.viewAge();
+    result.rows.push_back({backend.name, backend.domain, node.isRoot() ? "root" : "follower",
+                           toString(backend.peers), node.ready() ? "yes" : "no",
+                           text(node.relay().followers()), text(node.router().routes().version),
+                           text(node.version().value()), node.fresh() ? "yes" : "no",
+                           age ? milliseconds(*age) : NotKnown});
+    for (const Endpoint &root : node.roots()) {
+        if (root == backend.peers)
+            continue;
+        result.rows.push_back({NotKnown, NotKnown, "root", toString(root), NotKnown, NotKnown,
+                               NotKnown, NotKnown, NotKnown, NotKnown});
+    }
+    return result;
+}
+
+[[nodiscard]] Result tableOf(const DirectBackend &backend, language::Table table)
+{
+    switch (table) {
+    case language::Table::Services:
+        return servicesTable(backend);
+    case language::Table::Targets:
+        return targetsTable(backend, false);
+    case language::Table::Drains:
+        return targetsTable(backend, true);
+    case language::Table::Daemons:
+        return daemonsTable(backend);
+    case language::Table::Changes:
+        break;
+    }
+    return Result{Status::Refused, {"changes are kept by the platform's store, not here"}, {}, {}};
+}
+
+/// \brief Runs one statement; what is not shown here is refused with the place to go to.
+struct Executor
+{
+    const DirectBackend &backend;
+
+    Result operator()(const language::Show &show) const
+    {
+        return language::filterRows(tableOf(backend, show.table), show.filters);
+    }
+    Result operator()(const language::ShowRevision &) const { return daemonsTable(backend); }
+    Result operator()(const language::ShowMetrics &) const
+    {
+        return {Status::Done, {backend.metrics()}, {}, {}};
+    }
+    Result operator()(const language::Help &) const
+    {
+        return {Status::Done, {std::string{language::helpText()}}, {}, {}};
+    }
+    Result operator()(const language::ExplainFlow &) const
+    {
+        return {Status::Refused,
+                {"ask the logs: baobabctl explain flow 'CALLER>SERVICE' < LOGS"},
+                {},
+                {}};
+    }
+    template <typename Other>
+    Result operator()(const Other &) const
+    {
+        return {Status::Refused,
+                {"with direct forwarding, routes and targets are changed in the platform's store; "
+                 "this daemon only shows what is in force"},
+                {},
+                {}};
+    }
+};
+
+} // namespace
+
+Result executeDirect(const DirectBackend &backend, const std::string &text)
+{
+    const auto parsed = language::parse(text);
+    if (const auto *error = std::get_if<language::SyntaxError>(&parsed))
+        return {Status::Usage, {toString(*error)}, {}, {}};
+    return std::visit(Executor{backend}, std::get<language::Statement>(parsed));
+}
+
+} // namespace baobabtrail::daemon
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,6 +1,6 @@
 #include "daemon/daemon.h"
 #include "daemon/direct/direct_daemon.h"
-#include "daemon/settings/settings_reader.h"
+#include "daemon/settings/settings_file.h"
 
 #include <gflags/gflags.h>
 
@@ -36,6 +36,8 @@
 /// \brief Runs the kind of daemon that the settings are of.
 struct Runner
 {
+    SettingsFile &file;
+
     ExitStatus operator()(const Findings &findings) const { return reportFindings(findings); }
 
     ExitStatus operator()(Settings &settings) const
@@ -50,19 +52,20 @@
         const LogSession log{settings.log.level};
         const std::uint64_t seed
             = newIncarnation().value() ^ std::hash<std::string>{}(settings.name);
-        DirectDaemon daemon{std::move(settings), FLAGS_settings, seed};
+        DirectDaemon daemon{std::move(settings), std::move(file), seed};
         return daemon.run();
     }
 };
 
 [[nodiscard]] ExitStatus runDaemon(const std::string &path)
 {
-    AnySettings settings = readAnySettingsFile(path);
+    SettingsFile file{path};
+    AnySettings settings = file.read();
     if (FLAGS_check && !std::holds_alternative<Findings>(settings)) {
         std::cout << "settings: no findings\n";
         return ExitStatus::Done;
     }
-    return std::visit(Runner{}, settings);
+    return std::visit(Runner{file}, settings);
 }
 
 } // namespace
--- a/src/daemon/settings/settings_reader.cpp
+++ b/src/daemon/settings/settings_reader.cpp
@@ -327,14 +327,6 @@
 }
 
 /// \return The file's content, or nothing where it can't be opened.
-[[nodiscard]] std::optional<std::string> contentOf(const std::filesystem::path &path)
-{
-    std::ifstream file{path, std::ios::binary};
-    if (!file)
-        return std::nullopt;
-    return std::string{std::istreambuf_iterator<char>{file}, {}};
-}
-
 [[nodiscard]] Findings notOpened(const std::filesystem::path &path)
 {
     return {{path.string(), "can't be opened"}};
@@ -342,6 +334,14 @@
 
 } // namespace
 
+std::optional<std::string> contentOf(const std::filesystem::path &path)
+{
+    std::ifstream file{path, std::ios::binary};
+    if (!file)
+        return std::nullopt;
+    return std::string{std::istreambuf_iterator<char>{file}, {}};
+}
+
 std::variant<Settings, Findings> readSettings(std::string_view text)
 {
     const auto root = parseRoot(text);
@@ -370,10 +370,10 @@
     return text ? readSettings(*text) : std::variant<Settings, Findings>{notOpened(path)};
 }
 
-AnySettings readAnySettingsFile(const std::filesystem::path &path)
+AnySettings readAnySettings(const std::optional<std::string> &content,
+                            const std::filesystem::path &path)
 {
-    const auto text = contentOf(path);
-    return text ? readAnySettings(*text) : AnySettings{notOpened(path)};
+    return content ? readAnySettings(*content) : AnySettings{notOpened(path)};
 }
 
 } // namespace baobabtrail::daemon
--- a/src/daemon/settings/settings_reader.h
+++ b/src/daemon/settings/settings_reader.h
@@ -5,6 +5,8 @@
 #include "daemon/settings/settings.h"
 
 #include <filesystem>
+#include <optional>
+#include <string>
 #include <string_view>
 #include <variant>
 
@@ -22,8 +24,13 @@
 /// targets speak the product's own frames; the default) or "direct" (targets answer callers).
 [[nodiscard]] AnySettings readAnySettings(std::string_view text);
 
-/// \brief As readAnySettings(), from a file.
-[[nodiscard]] AnySettings readAnySettingsFile(const std::filesystem::path &path);
+/// \return The text of a file, or nothing where it can't be opened.
+[[nodiscard]] std::optional<std::string> contentOf(const std::filesystem::path &path);
+
+/// \brief As readAnySettings(), of what contentOf() found; a missing file is a finding.
+/// \param path Named in that finding.
+[[nodiscard]] AnySettings readAnySettings(const std::optional<std::string> &content,
+                                          const std::filesystem::path &path);
 
 /// \brief As readSettings(), from a file.
 [[nodiscard]] std::variant<Settings, Findings> readSettingsFile(const std::filesystem::path &path);
--- /dev/null
+++ b/src/language/filter_rows.cpp
@@ -0,0 +1,63 @@
+#include "language/filter_rows.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace baobabtrail::language {
+
+namespace {
+
+[[nodiscard]] std::optional<std::size_t> columnOf(const Result &result, std::string_view column)
+{
+    const auto found = std::find(result.columns.begin(), result.columns.end(), column);
+    if (found == result.columns.end())
+        return std::nullopt;
+    return static_cast<std::size_t>(found - result.columns.begin());
+}
+
+[[nodiscard]] std::string joined(const std::vector<std::string> &words)
+{
+    std::string text;
+    for (const std::string &word : words) {
+        if (!text.empty())
+            text += ", ";
+        text += word;
+    }
+    return text;
+}
+
+/// \brief Whether a cell has the value that a filter names; a service may be given as
+/// "tenant/service".
+[[nodiscard]] bool holds(const Result &result, const std::vector<std::string> &row,
+                         std::size_t column, const std::string &value)
+{
+    if (row[column] == value)
+        return true;
+    const auto tenant = columnOf(result, "tenant");
+    return result.columns[column] == "service" && tenant
+           && row[*tenant] + '/' + row[column] == value;
+}
+
+} // namespace
+
+Result filterRows(Result table, const std::vector<Filter> &filters)
+{
+    std::vector<std::string> findings;
+    for (const Filter &filter : filters) {
+        if (!columnOf(table, filter.column))
+            findings.push_back("this table has no column '" + filter.column
+                               + "'; it has: " + joined(table.columns));
+    }
+    if (!findings.empty())
+        return Result{Status::Usage, findings, {}, {}};
+
+    for (const Filter &filter : filters) {
+        const std::size_t column = *columnOf(table, filter.column);
+        std::erase_if(table.rows, [&](const auto &row) {
+            return holds(table, row, column, filter.value) == filter.negated;
+        });
+    }
+    return table;
+}
+
+} // namespace baobabtrail::language
--- a/src/language/impl/queries.cpp
+++ b/src/language/impl/queries.cpp
@@ -1,5 +1,6 @@
 #include "language/impl/queries.h"
 
+#include "language/filter_rows.h"
 #include "language/impl/tables.h"
 
 #include <algorithm>
@@ -17,29 +18,6 @@
     return static_cast<std::size_t>(found - result.columns.begin());
 }
 
-[[nodiscard]] std::string joined(const std::vector<std::string> &words)
-{
-    std::string text;
-    for (const std::string &word : words) {
-        if (!text.empty())
-            text += ", ";
-        text += word;
-    }
-    return text;
-}
-
-/// \brief Whether a cell has the value that a filter names; a service may be given as
-/// "tenant/service".
-[[nodiscard]] bool holds(const Result &result, const std::vector<std::string> &row,
-                         std::size_t column, const std::string &value)
-{
-    if (row[column] == value)
-        return true;
-    const auto tenant = columnOf(result, "tenant");
-    return result.columns[column] == "service" && tenant
-           && row[*tenant] + '/' + row[column] == value;
-}
-
 [[nodiscard]] Result tableOf(const Backend &backend, Table table)
 {
     switch (table) {
@@ -114,23 +92,8 @@
 Result showTable(const Backend &backend, const Caller &caller, const Show &show)
 {
     Result result = tableOf(backend, show.table);
-    std::vector<std::string> findings;
-    for (const Filter &filter : show.filters) {
-        if (!columnOf(result, filter.column))
-            findings.push_back("this table has no column '" + filter.column
-                               + "'; it has: " + joined(result.columns));
-    }
-    if (!findings.empty())
-        return Result{Status::Usage, findings, {}, {}};
-
     keepVisible(result, caller);
-    for (const Filter &filter : show.filters) {
-        const std::size_t column = *columnOf(result, filter.column);
-        std::erase_if(result.rows, [&](const auto &row) {
-            return holds(result, row, column, filter.value) == filter.negated;
-        });
-    }
-    return result;
+    return filterRows(std::move(result), show.filters);
 }
 
 Result revisionTable(const std::vector<DomainStatus> &domains)
--- a/standins/direct/world.h
+++ b/standins/direct/world.h
@@ -75,10 +75,8 @@
 
     void startDaemon(std::size_t index)
     {
-        const std::string path = m_directory.file("daemon" + std::to_string(index) + ".json");
-        std::ofstream{path} << settingsOf(index);
         m_daemons[index] = std::make_unique<test::Process>(
-            "baobabtraild", std::vector<std::string>{"--settings=" + path}, output);
+            "baobabtraild", std::vector<std::string>{"--settings=" + writeSettings(index)}, output);
     }
 
     /// \brief Signals a daemon; SIGKILL also forgets it.
@@ -101,6 +99,16 @@
         return status;
     }
 
+    /// \brief The store is reached at another address from now on, the old one refuses. The
+    /// daemon's settings file says so; nobody signals it.
+    void moveStore(std::size_t index)
+    {
+        m_proxies[index]->set(TcpProxy::Mode::Refusing);
+        m_movedProxies.push_back(std::move(m_proxies[index]));
+        m_proxies[index] = std::make_unique<TcpProxy>(m_context, storePort());
+        (void)writeSettings(index);
+    }
+
     // The store, as operators and targets write to it.
 
     void setSwitches(const std::string &json) { put("/control/switches", json); }
@@ -164,11 +172,17 @@
     TargetLog targetLog;
     test::Process::Output output = test::Process::Output::Hidden;
 
+    /// \return Where a daemon's metrics are, and where it can be asked with baobabctl.
+    [[nodiscard]] Endpoint administrationOf(std::size_t index) const
+    {
+        return daemonAddress(index, 1);
+    }
+
     /// \return A metrics page of a daemon.
     [[nodiscard]] std::string metricsOf(std::size_t index)
     {
         std::string page;
-        get(daemonAddress(index, 1), "/metrics", [&page](const HttpResult &result) {
+        get(administrationOf(index), "/metrics", [&page](const HttpResult &result) {
             if (const auto *response = std::get_if<HttpClientResponse>(&result))
                 page = response->body();
         });
@@ -231,6 +245,16 @@
         return boost::json::serialize(settings);
     }
 
+    /// \return The path of the daemon's settings file, written anew.
+    std::string writeSettings(std::size_t index) const
+    {
+        const std::string path = m_directory.file("daemon" + std::to_string(index) + ".json");
+        const std::string next = path + ".next";
+        std::ofstream{next} << settingsOf(index);
+        std::filesystem::rename(next, path); // Nobody reads half of it.
+        return path;
+    }
+
     void writeRoutes()
     {
         boost::json::array routes;
@@ -342,6 +366,7 @@
     HttpClient m_http{m_context};
     boost::asio::steady_timer m_probeTimer{m_context};
     std::vector<std::unique_ptr<TcpProxy>> m_proxies;
+    std::vector<std::unique_ptr<TcpProxy>> m_movedProxies; ///< Links of theirs may still end.
     std::vector<std::unique_ptr<test::Process>> m_daemons;
     std::vector<int> m_misses;
     Rotation m_rotation;
--- a/tests/direct-system/direct_system_test.cpp
+++ b/tests/direct-system/direct_system_test.cpp
@@ -1,6 +1,7 @@
 // Real daemons, the store's stand-in, and targets, routers and callers that speak the published
 // packets, all on the loopback range.
 
+#include "ctl/top.h"
 #include "support/direct_system.h"
 
 using namespace baobabtrail;
@@ -75,6 +76,41 @@
     cr_assert_eq(world.callerLog.singleAnswered - answered, Callers);
 }
 
+// The store moves to another address. Every daemon's settings file says so, and no daemon is
+// signalled. A route that is added afterwards has to be served: daemons that kept to the old
+// address would never hear of it.
+Test(directSystem, settingsThatChangeWithoutASignalAreTaken)
+{
+    DirectSystem system;
+    World &world = system.world;
+    for (std::size_t index = 0; index < Daemons; ++index)
+        world.moveStore(index);
+    world.run(100ms);
+    world.setRoute(2, true);
+    const std::size_t answered = world.callerLog.singleAnswered;
+    const auto served = [&] {
+        for (const auto &caller : world.callers())
+            caller->ask(World::routeOf(2), "lending");
+        world.run(200ms);
+        return world.callerLog.singleAnswered > answered;
+    };
+    cr_assert(world.runUntil(served, 8s));
+    system.expectSound();
+}
+
+// An engineer on call looks at one daemon with baobabctl top: its view, its counters, its targets.
+Test(directSystem, topShowsADaemonAtItsMetricsAddress)
+{
+    DirectSystem system;
+    cr_assert_eq(system.askAll(), 2 * Callers);
+    ctl::AdminClient client({system.world.administrationOf(0)}, "", 2s);
+    const auto screen = ctl::topScreen([&](const ctl::Call &call) { return client.execute(call); });
+    cr_assert(screen.has_value());
+    for (const char *shown : {"ready 1", "view_age_seconds", "segments_total{service=\"lending\"",
+                              "targets:", "catalogue", "trusted"})
+        cr_assert_neq(screen->find(shown), std::string::npos, "%s in\n%s", shown, screen->c_str());
+}
+
 // Nobody reads what the daemons print any more: the pipe is full after 64 KB, some 190 placements.
 // Lines may be lost; no packet may wait for them.
 Test(directSystem, aLogReaderThatHasStoppedBlocksNoPacket)
--- /dev/null
+++ b/tests/explain/tables_test.cpp
@@ -0,0 +1,87 @@
+#include "daemon/direct/direct_tables.h"
+
+#include <criterion/criterion.h>
+
+#include "support/logged_cluster.h"
+
+using namespace baobabtrail;
+using namespace baobabtrail::daemon;
+using namespace baobabtrail::test;
+using language::Result;
+using language::Status;
+
+namespace {
+
+/// \brief A cluster with one target that takes flows and one that drains, and statements to one
+/// daemon.
+struct Asked
+{
+    LoggedCluster system{3};
+
+    Asked()
+    {
+        system.cluster.store.put(DirectCluster::targetKey(1), "x ready");
+        system.cluster.store.put(DirectCluster::targetKey(2), "x draining");
+        system.cluster.time.run(5s);
+        (void)system.open(2, 7);
+    }
+
+    [[nodiscard]] Result execute(const std::string &statement) const
+    {
+        const DirectBackend backend{
+            "edge-2",    "d2",
+            {},          const_cast<LoggedCluster &>(system).cluster.node(2),
+            TimePoint{}, [] { return std::string{"page"}; }};
+        return executeDirect(backend, statement);
+    }
+};
+
+[[nodiscard]] std::string cell(const Result &result, std::size_t row, const std::string &column)
+{
+    for (std::size_t index = 0; index < result.columns.size(); ++index) {
+        if (result.columns[index] == column)
+            return result.rows.at(row).at(index);
+    }
+    return "no column " + column;
+}
+
+} // namespace
+
+Test(directTables, showsTargetsWithWhatDecidesTheirChoice)
+{
+    const Asked asked;
+    const Result all = asked.execute("show targets");
+    cr_assert_eq(all.rows.size(), 2);
+    const Result trusted = asked.execute("show targets where state = trusted");
+    cr_assert_eq(trusted.rows.size(), 1);
+    cr_assert(cell(trusted, 0, "service") == "x");
+    cr_assert(cell(trusted, 0, "opening") == "1");
+    const Result leaving = asked.execute("show drains");
+    cr_assert_eq(leaving.rows.size(), 1);
+    cr_assert(cell(leaving, 0, "state") == "draining");
+    cr_assert(asked.execute("show targets where colour = red").status == Status::Usage);
+}
+
+Test(directTables, showsItsViewAndWhereItComesFrom)
+{
+    const Asked asked;
+    const Result daemons = asked.execute("show daemons");
+    cr_assert_eq(daemons.rows.size(), 3, "itself and two roots");
+    cr_assert(cell(daemons, 0, "daemon") == "edge-2");
+    cr_assert(cell(daemons, 0, "role") == "follower");
+    cr_assert(cell(daemons, 0, "fresh") == "yes");
+    const Result services = asked.execute("show services");
+    cr_assert(cell(services, 0, "targets") == "2");
+    cr_assert(cell(services, 0, "trusted") == "1");
+    cr_assert(asked.execute("show metrics").messages.at(0) == "page");
+}
+
+// Operators who know the product's own commands try one here; the daemon must not seem to do it.
+Test(directTables, refusesCommandsAndSaysWhereTheyBelong)
+{
+    const Asked asked;
+    const Result result = asked.execute("drain target alexandria/lending/t1");
+    cr_assert(result.status == Status::Refused);
+    cr_assert_neq(result.messages.at(0).find("store"), std::string::npos);
+    cr_assert(asked.execute("shew targets").status == Status::Usage);
+}
--- /dev/null
+++ b/tests/explain/walkthrough_test.cpp
@@ -0,0 +1,107 @@
+#include <criterion/criterion.h>
+
+#include "support/logged_cluster.h"
+
+using namespace baobabtrail;
+using namespace baobabtrail::test;
+
+// The walk-throughs of docs/OPERATIONS.md: from a caller's complaint to the cause, with the lines
+// that the daemons wrote and nothing else.
+
+namespace {
+
+constexpr std::uint16_t Complaining = 7;
+
+[[nodiscard]] Segment request(FlowLabel label, std::uint32_t sent, std::uint32_t received)
+{
+    return DirectFleet::data(Complaining, label, sent, 100, received);
+}
+
+void addTarget(LoggedCluster &system)
+{
+    system.cluster.store.put(DirectCluster::targetKey(1), "x ready");
+    system.cluster.time.run(5s);
+}
+
+} // namespace
+
+// A caller's feed is open when all daemons are killed, and it goes on through one that has just
+// started. It asked while nobody forwarded, and asks again: the story shows the start before that.
+Test(explain, aFeedGoneSilent)
+{
+    LoggedCluster system{3};
+    addTarget(system);
+    const FlowLabel label = system.open(2, Complaining);
+    (void)system.send(2, DirectFleet::data(Complaining, label, 0, 0, 1));
+    for (std::size_t index = 0; index < 3; ++index)
+        system.cluster.kill(index);
+    system.cluster.time.run(1s);
+    for (std::size_t index = 0; index < 3; ++index)
+        system.cluster.start(index);
+    system.cluster.time.run(500ms);
+    (void)system.send(2, request(label, 0, 1));
+    system.cluster.time.run(300ms);
+    (void)system.send(2, request(label, 0, 1));
+    expectInOrder(system.story(Complaining),
+                  {"daemon: start", "config: routes_in_force", "daemon: ready", "flows: repeated",
+                   "cause: the caller sent again: its target acknowledged nothing"});
+}
+
+// The store is away, and a caller opens a flow at an address that no daemon has heard of: it may be
+// new. It gets no answer; the story names the age of the view and the dependency that is lost.
+Test(explain, anOpeningThatNobodyAnswers)
+{
+    LoggedCluster system{3};
+    addTarget(system);
+    system.cluster.store.down = true;
+    system.cluster.time.run(5s);
+    Segment opening = DirectFleet::opening(Complaining);
+    opening.flow.service.port += 1;
+    (void)system.send(2, opening);
+    system.cluster.time.run(200ms);
+    opening.copy = 1;
+    (void)system.send(2, opening);
+    const std::string story = system.story(Complaining);
+    expectInOrder(story, {"flows: stale_view", "copy=0", "fresh=false",
+                          "view_age_ms=", "flows: stale_view", "copy=1",
+                          "cause: the daemon's view was out of date, so it said nothing"});
+    expectInOrder(system.text(), {"\"event\":\"store_lost\"", "\"why\":"});
+}
+
+// A target that takes 35 ms as a rule takes 170 ms once. The story shows that it looked well when
+// it was chosen, and how late its answer was.
+Test(explain, aRequestThatCameLate)
+{
+    LoggedCluster system{3};
+    addTarget(system);
+    const FlowLabel label = system.open(2, Complaining);
+    (void)system.send(2, DirectFleet::data(Complaining, label, 0, 0, 1));
+    std::uint32_t answered = 1;
+    for (std::uint32_t asked = 0; asked < 600; asked += 100) {
+        (void)system.send(2, request(label, asked, answered));
+        system.cluster.time.run(asked == 500 ? 170ms : 35ms);
+        (void)system.send(2, DirectFleet::data(Complaining, label, asked + 100, 0, ++answered));
+    }
+    expectInOrder(system.story(Complaining),
+                  {"flows: placed", "in_flight=0", "flows: slow_answer", "took_ms=170.0",
+                   "usual_ms=35.0", "cause: its target answered late"});
+}
+
+// At overload a daemon writes a bounded number of lines of each kind. Nothing goes missing unsaid:
+// the next line of the kind tells how many were left out, and refusals are not among the
+// placements.
+Test(explain, whatIsLeftOutIsCountedAndSaid)
+{
+    LoggedCluster system{3, 20};
+    addTarget(system);
+    for (std::uint16_t caller = 100; caller < 400; ++caller)
+        (void)system.open(2, caller);
+    Segment refused = DirectFleet::opening(Complaining);
+    refused.flow.service.port += 1;
+    (void)system.send(2, refused);
+    cr_assert_eq(system.leftOut(2), 280);
+    expectInOrder(system.story(Complaining), {"flows: no_route", "cause: no service had"});
+    system.cluster.time.run(1s);
+    (void)system.open(2, 500);
+    expectInOrder(system.text(), {"\"event\":\"no_route\"", "\"left_out\":280"});
+}
--- a/tests/requests/change_test.cpp
+++ b/tests/requests/change_test.cpp
@@ -66,9 +66,10 @@
     cr_assert_eq(rig.all<CloseLink>().size(), 1);
 }
 
-// A target passes to another daemon, which fills its slots before this one has heard of it. A request
-// that waits here has 150 ms left and a run takes 100 ms: behind the new owner's work it would still
-// run when its deadline passes and end as unknown. Its caller is told at once that it has not run.
+// A target passes to another daemon, which fills its slots before this one has heard of it. A
+// request that waits here has 150 ms left and a run takes 100 ms: behind the new owner's work it
+// would still run when its deadline passes and end as unknown. Its caller is told at once that it
+// has not run.
 Test(requestChange, startsNothingBehindTheNewOwnersWorkThatCannotEndInTime)
 {
     for (const std::uint32_t othersQueued : {0U, 1U}) {
--- a/tests/support/direct_cluster.h
+++ b/tests/support/direct_cluster.h
@@ -19,10 +19,16 @@
 public:
     static constexpr Duration Hop = 500us;
 
+    /// Sets more ports of a daemon that starts.
+    using OnPorts = std::function<void(std::size_t index, DirectPorts &ports)>;
+
     /// \param roots The first so many daemons are roots.
-    DirectCluster(std::size_t size, std::size_t roots, std::uint64_t seed)
+    DirectCluster(
+        std::size_t size, std::size_t roots, std::uint64_t seed,
+        OnPorts onPorts = [](std::size_t, DirectPorts &) {})
         : store(time)
         , m_seed(seed)
+        , m_onPorts(std::move(onPorts))
     {
         store.put("routes/main", "1");
         for (std::size_t index = 0; index < roots; ++index)
@@ -144,6 +150,7 @@
         };
         ports.reader = reader();
         ports.carry = [](const Segment &, const std::string &, const SegmentVerdict &) {};
+        m_onPorts(index, ports);
         return ports;
     }
 
@@ -209,6 +216,7 @@
     }
 
     std::uint64_t m_seed;
+    OnPorts m_onPorts;
     std::vector<Endpoint> m_roots;
     std::vector<std::unique_ptr<Daemon>> m_daemons;
 };
