Have followers wait at their source in an outage, and few of them look at the store

Cause: when the roots' copies grew old, each follower left its source, asked the roots and looked at the store for itself within 0.4 s. In virtual time at 630 daemons that was 3,855 calls in an outage of 10 s; when the store refused all roots and every third daemon, 212 daemons had not heard of a drain after 3 s.

Now an answer names its path to the store, its origin, and the origin's pulse. A follower whose source is out of date stays while the pulse grows, and leaves as before where it stands (a ring of daemons that feed each other). Only those with a seat at a root look for themselves; one that gets through tells the root, which takes its copy, and by it everybody. Seats count by collection; those sent on are dealt out by turns, to a root of their own domain where there is one.

Ruled out on the way, by runs of the new tests: waiting for any source that answers (80 of 630 daemons in a ring never heard again); bounding paths at 6 hops (462,000 questions in 10 s instead of 31,000); telling who has free seats (stale at once when all start together, paths of 7).

Both tests failed before.

--- a/src/core/direct/direct_node.cpp
+++ b/src/core/direct/direct_node.cpp
@@ -58,7 +58,7 @@
     , m_ports(std::move(ports))
     , m_random(seed)
     , m_router(m_identity.domain, settings.flows, m_random, m_ports.observer)
-    , m_relay(m_identity.domain, settings.relay, {m_ports.feed.now, m_ports.feed.after})
+    , m_relay(m_identity.domain, settings.relay, relayPorts())
     , m_routes(*this, "routes", RoutesPrefix, &DirectNode::takeRoutes)
     , m_targets(*this, "targets", TargetsPrefix, &DirectNode::takeTargets)
 {
@@ -86,11 +86,17 @@
     if (m_isRoot)
         collection.store.start();
     else
-        collection.store.stop();
+        stopStore(collection);
     if (!m_roots.empty())
         collection.peers.start(m_roots);
 }
 
+void DirectNode::stopStore(Collection &collection)
+{
+    collection.store.stop();
+    collection.byStore = false;
+}
+
 void DirectNode::expirePeriodically()
 {
     m_ports.feed.after(ExpirePeriod, [this, alive = std::weak_ptr{m_alive}] {
@@ -210,8 +216,14 @@
     if (end.historyGone)
         notice(HistoryLost{collection.name, collection.copy.version()});
     const bool lost = !end.failure.empty();
-    if (!lost && !end.historyGone)
+    collection.byStore = !lost;
+    if (!lost && !end.historyGone) {
         tellFollowers(collection);
+        // The source itself may be refused by the store, and with it all that have their copies
+        // from there; told now, it takes this daemon's copy.
+        if (collection.peers.state() == PeerState::Stale)
+            collection.peers.tellSource();
+    }
     if (lost == collection.storeLost)
         return;
     collection.storeLost = lost;
@@ -223,23 +235,66 @@
     notice(PeerContact{collection.name, state, collection.peers.source(), ageOf(collection)});
     if (m_isRoot)
         return;
-    if (state == PeerState::Fresh)
-        collection.store.stop();
+    if (state == PeerState::Fresh || state == PeerState::Waiting)
+        stopStore(collection);
     else if (!collection.copy.complete())
         collection.store.start(true); // Callers wait; nothing is there to go on with.
     else
         askStoreLater(collection, state == PeerState::Lost ? LostSpread : StaleSpread);
 }
 
-// Followers that wait hear at once that the copy was confirmed: their own copies are then hardly
-// older than this one. Two daemons that ask each other don't go on for ever, since small steps are
-// not told.
+ViewRelay::Ports DirectNode::relayPorts()
+{
+    ViewRelay::Ports ports;
+    ports.now = m_ports.feed.now;
+    ports.after = m_ports.feed.after;
+    ports.lineage = [this](const std::string &prefix) { return lineageOf(collectionOf(prefix)); };
+    ports.isRoot = [this](const Endpoint &daemon) {
+        return std::find(m_roots.begin(), m_roots.end(), daemon) != m_roots.end();
+    };
+    ports.fresher = [this](const std::string &prefix, const Endpoint &fresher) {
+        collectionOf(prefix).peers.suggest(fresher);
+    };
+    return ports;
+}
+
+DirectNode::Collection &DirectNode::collectionOf(const std::string &prefix) noexcept
+{
+    return prefix == m_routes.prefix ? m_routes : m_targets;
+}
+
+Lineage DirectNode::lineageOf(const Collection &collection) const
+{
+    const PeerState state = collection.peers.state();
+    const bool alone = !collection.byStore && state == PeerState::Lost;
+    Lineage lineage;
+    // A root that the store refuses may have its copy from another daemon.
+    if (!collection.byStore && (!m_isRoot || state == PeerState::Fresh) && !alone)
+        lineage = collection.peers.lineage();
+    // Also without the store a root looks after it, unless it hears nobody: then others had better
+    // look elsewhere.
+    if ((m_isRoot || collection.byStore) && !alone) {
+        lineage.origin = m_identity.address;
+        lineage.pulse
+            = static_cast<std::uint64_t>(m_ports.feed.now().time_since_epoch() / PulseUnit);
+    }
+    lineage.path.insert(lineage.path.begin(), m_identity.address);
+    return lineage;
+}
+
+// Followers that wait hear at once that the copy was confirmed, or that this daemon is linked:
+// their own copies are then hardly older than this one. Two daemons that ask each other don't go on
+// for ever, since small steps are not told.
 void DirectNode::tellFollowers(Collection &collection)
 {
     const TimePoint confirmed = collection.copy.confirmedAt().value_or(collection.toldAt);
-    if (confirmed - collection.toldAt < LeastNewsOfAge)
+    const TimePoint heard = collection.peers.heardAt().value_or(collection.pulseAt);
+    const bool confirmedAnew = confirmed - collection.toldAt >= LeastNewsOfAge;
+    const bool pulse = heard - collection.pulseAt >= LeastNewsOfPulse * PulseUnit;
+    if (!confirmedAnew && !pulse)
         return;
     collection.toldAt = confirmed;
+    collection.pulseAt = heard;
     m_relay.changed(collection.prefix);
 }
 
@@ -252,7 +307,8 @@
     m_ports.feed.after(wait, [this, &collection, alive = std::weak_ptr{m_alive}] {
         if (alive.expired() || m_isRoot || collection.store.running())
             return;
-        if (collection.peers.state() != PeerState::Fresh)
+        const PeerState state = collection.peers.state();
+        if (state == PeerState::Stale || state == PeerState::Lost)
             collection.store.start(true);
     });
 }
--- a/src/core/direct/direct_node.h
+++ b/src/core/direct/direct_node.h
@@ -161,15 +161,21 @@
         StoreFeed store;
         PeerFeed peers;
         bool storeLost = false;
-        TimePoint toldAt{}; ///< Confirmation that followers have been told of.
+        bool byStore = false; ///< The store answers, and this daemon asks it.
+        TimePoint toldAt{};   ///< Confirmation that followers have been told of.
+        TimePoint pulseAt{};  ///< Pulse that they have been told of while the copy was stale.
     };
 
     void startFeeds(Collection &collection);
+    static void stopStore(Collection &collection);
     void takeRoutes(const CollectionChange &change);
     void takeTargets(const CollectionChange &change);
     void storeContact(Collection &collection, const FeedContact &end);
     void peerContact(Collection &collection, PeerState state);
     void tellFollowers(Collection &collection);
+    [[nodiscard]] ViewRelay::Ports relayPorts();
+    [[nodiscard]] Collection &collectionOf(const std::string &prefix) noexcept;
+    [[nodiscard]] Lineage lineageOf(const Collection &collection) const;
     void askStoreLater(Collection &collection, Duration most);
     void announceReady();
     void refuse(DirectoryFinding finding);
--- a/src/core/directory/peer_feed.cpp
+++ b/src/core/directory/peer_feed.cpp
@@ -10,6 +10,11 @@
 /// Sources that other daemons have named are kept up to this many; the oldest goes first.
 constexpr std::size_t MostSources = 12;
 
+/// Longest path of a source. Three roots with eight followers each reach 630 daemons over four; the
+/// rest is for uneven trees, whose hops cost milliseconds each.
+constexpr std::size_t MostHops = 12;
+/// Origins whose pulses are kept apart.
+constexpr std::size_t MostOrigins = 64;
 /// Wait of a question that is asked when the copy is about to be stale.
 constexpr Duration ShortestWait = 10ms;
 
@@ -33,6 +38,7 @@
 {
     ++*m_run;
     m_startedAt = m_ports.now();
+    m_staleSince.reset();
     m_sources.clear();
     for (const Endpoint &source : sources) {
         if (source == m_identity.address)
@@ -40,6 +46,12 @@
         m_sources.emplace_back();
         m_sources.back().address = source;
     }
+    // Each begins at another one: else the first would send nearly all of them on to its followers.
+    if (!m_sources.empty()) {
+        const std::size_t first = hash_value(m_identity.address) % m_sources.size();
+        std::rotate(m_sources.begin(), m_sources.begin() + static_cast<std::ptrdiff_t>(first),
+                    m_sources.end());
+    }
     if (m_sources.empty()) {
         setState(PeerState::Lost);
         return;
@@ -83,7 +95,8 @@
     for (Source &source : m_sources) {
         if (source.failedAt && m_ports.now() - *source.failedAt < m_settings.forget)
             continue;
-        if (!best || rank(source) < rank(*best))
+        // Of equals the one that was named last: it is further down, where seats are free.
+        if (!best || rank(source) <= rank(*best))
             best = &source;
     }
     return best;
@@ -103,7 +116,7 @@
 Duration PeerFeed::longestWait() const
 {
     const auto confirmed = m_copy.confirmedAt();
-    if (!confirmed)
+    if (!confirmed || m_staleSince)
         return m_settings.wait;
     const Duration left = *confirmed + m_settings.staleAfter - m_ports.now();
     return std::clamp(left + ShortestWait, ShortestWait, m_settings.wait);
@@ -112,27 +125,37 @@
 void PeerFeed::ask()
 {
     const Source *source = choose();
-    if (!source) {
-        judge();
-        for (Source &failed : m_sources) {
-            if (!m_copy.complete())
-                failed.failedAt.reset(); // Nothing to lose: all are tried again at once.
-        }
-        later(m_settings.retry);
+    if (source) {
+        askAt(*source);
         return;
     }
+    judge();
+    for (Source &failed : m_sources) {
+        if (!m_copy.complete())
+            failed.failedAt.reset(); // Nothing to lose: all are tried again at once.
+    }
+    later(m_settings.retry);
+}
+
+void PeerFeed::askAt(const Source &source, bool look)
+{
     PeerQuestion question;
+    question.look = look;
     question.prefix = m_prefix;
     question.after = m_copy.version();
     question.asker = m_identity.address;
     question.domain = m_identity.domain;
+    question.origin = m_lineage.origin;
+    question.pulse = m_lineage.pulse;
+    if (const auto confirmed = m_copy.confirmedAt())
+        question.age = m_ports.now() - *confirmed;
     // A source that is not known to answer is not waited for.
-    if (source->address == m_source)
+    if (source.address == m_source)
         question.wait = longestWait();
     const Duration timeout
         = question.wait + (m_copy.complete() ? m_settings.timeout : m_settings.firstTimeout);
-    m_ports.ask(source->address, question, timeout,
-                [this, address = source->address, run = std::weak_ptr{m_run},
+    m_ports.ask(source.address, question, timeout,
+                [this, address = source.address, run = std::weak_ptr{m_run},
                  mine = *m_run](PeerReply reply) {
                     const auto current = run.lock();
                     if (current && *current == mine)
@@ -140,6 +163,42 @@
                 });
 }
 
+void PeerFeed::tellSource()
+{
+    ++*m_run; // The question that waits is given up.
+    ask();
+}
+
+void PeerFeed::suggest(const Endpoint &fresher)
+{
+    if (m_state == PeerState::Fresh || fresher == m_identity.address || fresher.isNull())
+        return;
+    add(fresher);
+    const Source *source = find(fresher);
+    ++*m_run;
+    askAt(*source);
+}
+
+bool PeerFeed::isLinked() const
+{
+    return m_heardAt && m_ports.now() - *m_heardAt <= m_settings.unlinkedAfter;
+}
+
+void PeerFeed::hear(const Lineage &lineage)
+{
+    m_lineage = lineage;
+    if (lineage.origin.isNull())
+        return;
+    // The highest of each origin: in a ring, the pulses of two origins could go round for ever.
+    std::uint64_t &highest = m_pulses[lineage.origin];
+    if (lineage.pulse <= highest)
+        return;
+    highest = lineage.pulse;
+    m_heardAt = m_ports.now();
+    if (m_pulses.size() > MostOrigins)
+        m_pulses = {{lineage.origin, lineage.pulse}};
+}
+
 void PeerFeed::onReply(const Endpoint &address, PeerReply reply)
 {
     Source *source = find(address);
@@ -153,11 +212,20 @@
         ask();
         return;
     }
+    const std::vector<Endpoint> &path = reply->lineage.path;
+    const bool fromHere = std::find(path.begin(), path.end(), m_identity.address) != path.end();
+    if (fromHere || path.size() > MostHops) {
+        m_staleSince = m_staleSince.value_or(m_ports.now()); // It answers, and knows no more.
+        failed(address);
+        return;
+    }
+    hear(reply->lineage);
     if (!take(*reply)) {
-        stale(address);
+        stale(address, reply->seated);
         return;
     }
     source->failedAt.reset();
+    source->staleAt.reset();
     m_source = address;
     m_staleSince.reset();
     setState(PeerState::Fresh);
@@ -170,7 +238,8 @@
     // on with the store would keep this daemon ahead of its peers, and at the store, for ever.
     if (answer.delta.change.version < m_copy.version()) {
         const auto confirmed = m_copy.confirmedAt();
-        return confirmed && m_ports.now() - *confirmed <= m_settings.staleAfter;
+        const bool ownIsFresh = confirmed && m_ports.now() - *confirmed <= m_settings.staleAfter;
+        return ownIsFresh && answer.age <= m_settings.staleAfter;
     }
     const CollectionChange &news = answer.delta.change;
     const auto change = answer.delta.complete
@@ -186,37 +255,74 @@
 void PeerFeed::redirect(Source &from, const std::vector<Endpoint> &to)
 {
     from.failedAt = m_ports.now();
-    for (const Endpoint &address : to) {
-        if (address == m_identity.address || address.isNull())
-            continue;
-        // One that failed a moment ago stays so: two daemons that send this one on to each other
-        // would have it ask as fast as the network goes.
-        if (find(address))
-            continue;
-        const auto named = std::find_if(m_sources.begin(), m_sources.end(),
-                                        [](const Source &source) { return !source.root; });
-        if (m_sources.size() >= MostSources && named != m_sources.end())
-            m_sources.erase(named);
-        Source source;
-        source.address = address;
-        source.root = false;
-        m_sources.push_back(std::move(source));
+    for (auto address = to.rbegin(); address != to.rend(); ++address) { // The best comes first.
+        if (*address != m_identity.address && !address->isNull())
+            add(*address);
     }
 }
 
-// The store is away from whoever answers with an old copy. Those that have theirs from the same
-// root know no more; only another root may.
-void PeerFeed::stale(const Endpoint &address)
+// One that is known keeps what is known of it: two daemons that send this one on to each other
+// would else have it ask as fast as the network goes.
+void PeerFeed::add(const Endpoint &address)
+{
+    if (find(address))
+        return;
+    const auto named = std::find_if(m_sources.begin(), m_sources.end(),
+                                    [](const Source &source) { return !source.root; });
+    if (m_sources.size() >= MostSources && named != m_sources.end())
+        m_sources.erase(named);
+    Source source;
+    source.address = address;
+    source.root = false;
+    m_sources.push_back(std::move(source));
+}
+
+// While the source is linked, it hears of the store's return as soon as anybody; to leave it would
+// bring every daemon to the roots. One that is linked to nobody knows no more than those that have
+// their copies from there; only a root may.
+void PeerFeed::stale(const Endpoint &address, bool seated)
 {
-    std::erase_if(m_sources, [](const Source &source) { return !source.root; });
-    if (Source *source = find(address))
-        source->failedAt = m_ports.now();
     m_staleSince = m_staleSince.value_or(m_ports.now());
+    Source &source = *find(address);
+    if (source.root) {
+        staleRoot(source, seated);
+        return;
+    }
+    if (isLinked()) {
+        m_source = address;
+        setState(PeerState::Waiting);
+        m_confirmed();
+        askAt(source);
+        return;
+    }
+    std::erase_if(m_sources, [](const Source &each) { return !each.root; });
     m_source = Endpoint{};
     judge();
     ask();
 }
 
+void PeerFeed::staleRoot(Source &root, bool seated)
+{
+    const TimePoint now = m_ports.now();
+    const Endpoint address = root.address;
+    root.staleAt = now;
+    root.failedAt.reset();
+    std::erase_if(m_sources, [](const Source &each) { return !each.root; });
+    const auto untried = std::find_if(m_sources.begin(), m_sources.end(), [&](const Source &each) {
+        const bool failed = each.failedAt && now - *each.failedAt < m_settings.forget;
+        const bool seen = each.staleAt && now - *each.staleAt < m_settings.staleRetry;
+        return !failed && !seen;
+    });
+    if (untried != m_sources.end()) {
+        askAt(*untried, true);
+        return;
+    }
+    m_source = address;
+    setState(seated ? PeerState::Stale : PeerState::Waiting);
+    m_confirmed();
+    askAt(*find(address));
+}
+
 void PeerFeed::failed(const Endpoint &address)
 {
     if (Source *source = find(address)) {
--- a/src/core/directory/peer_feed.h
+++ b/src/core/directory/peer_feed.h
@@ -5,6 +5,7 @@
 #include "core/random.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -22,6 +23,12 @@
     Duration firstTimeout = 100ms;
     Duration retry = 100ms; ///< Between sources that don't answer.
     Duration forget = 1s;   ///< Until a source that failed is tried again.
+    /// Between two looks at a root whose copy was out of date, by those who wait at another one.
+    Duration staleRetry = 2s;
+    /// A source whose origin's pulse has stood for so long is linked to nobody. The pulse comes
+    /// once a second (the wait), and has to stand for less than what makes a copy stale: in a ring
+    /// of daemons both stop at once.
+    Duration unlinkedAfter = 2s;
     /// Age at which a peer's copy is no better than none: a watch of a root at the store takes 1.5
     /// s, its followers hear of its end at once, and 0.7 s are for slow answers. Half a second
     /// later a daemon has to have asked the store itself, to know of a change within three seconds.
@@ -51,22 +58,24 @@
 
 /// \brief What the other daemons are good for.
 enum class PeerState {
-    Fresh, ///< One of them has a copy that the store confirmed lately.
-    Stale, ///< They answer, but the store is away from all of them.
-    Lost,  ///< None answers with a copy.
+    Fresh,   ///< One of them has a copy that the store confirmed lately.
+    Waiting, ///< The source's copy is old; one that is nearer to the store looks after that.
+    Stale,   ///< They answer, but the store is away from all of them; nobody is nearer to it.
+    Lost,    ///< None answers with a copy.
 };
 
 /// \brief Keeps a copy of a collection up to date from other daemons.
 ///
 /// Asks one source at a time, of the own failure domain where one answers, and goes on to the next
-/// where it fails, vouches for nothing, or is out of date.
+/// where it fails or vouches for nothing. Where the source's copy is out of date but somebody on
+/// the way up answers, this daemon stays and waits: in an outage hundreds would else ask the roots.
 class PeerFeed
 {
 public:
     using Changed = std::function<void(const CollectionChange &)>;
     /// Told of each change of the state.
     using Contact = std::function<void(PeerState)>;
-    /// Told whenever a source has vouched for the copy anew.
+    /// Told whenever a source has vouched for the copy anew, or has shown that it is linked.
     using Confirmed = std::function<void()>;
 
     PeerFeed(std::string prefix, PeerSettings settings, PeerIdentity identity, PeerPorts ports,
@@ -76,8 +85,17 @@
 
     /// \brief Starts, or asks anew. \param sources Daemons that watch the store; not this one.
     void start(const std::vector<Endpoint> &sources);
+    /// \brief Tells the source at once how young this daemon's own copy has become.
+    void tellSource();
+    /// \brief Takes a daemon for a source whose copy is younger, and asks it at once.
+    void suggest(const Endpoint &fresher);
+
     [[nodiscard]] PeerState state() const noexcept { return m_state; }
     [[nodiscard]] const Endpoint &source() const noexcept { return m_source; }
+    /// \return Of the source.
+    [[nodiscard]] const Lineage &lineage() const noexcept { return m_lineage; }
+    /// \return When the origin's pulse grew last.
+    [[nodiscard]] std::optional<TimePoint> heardAt() const noexcept { return m_heardAt; }
 
 private:
     struct Source
@@ -85,7 +103,8 @@
         Endpoint address;
         std::optional<std::string> domain; ///< Unknown until it has answered once.
         std::optional<TimePoint> failedAt;
-        bool root = true; ///< Named by the settings, not by another daemon.
+        std::optional<TimePoint> staleAt; ///< Its copy was out of date.
+        bool root = true;                 ///< Named by the settings, not by another daemon.
     };
 
     [[nodiscard]] Source *choose();
@@ -94,12 +113,18 @@
     [[nodiscard]] Duration longestWait() const;
     [[nodiscard]] Source *find(const Endpoint &address);
     void ask();
+    void askAt(const Source &source, bool look = false);
     void onReply(const Endpoint &source, PeerReply reply);
     /// \return Whether the answer is fresh; one that is stale is taken too, where it is newer.
     [[nodiscard]] bool take(PeerAnswer &answer);
     void redirect(Source &from, const std::vector<Endpoint> &to);
+    void add(const Endpoint &address);
     void failed(const Endpoint &source);
-    void stale(const Endpoint &source);
+    void stale(const Endpoint &source, bool seated);
+    /// \brief Goes on to another root, or waits at this one where all are out of date.
+    void staleRoot(Source &root, bool seated);
+    [[nodiscard]] bool isLinked() const;
+    void hear(const Lineage &lineage);
     void setState(PeerState state);
     void later(Duration wait);
 
@@ -112,7 +137,10 @@
     Contact m_contact;
     Confirmed m_confirmed;
     std::vector<Source> m_sources;
-    Endpoint m_source; ///< The one that answered last.
+    Endpoint m_source;                          ///< The one that answered last.
+    Lineage m_lineage;                          ///< Of that one.
+    std::map<Endpoint, std::uint64_t> m_pulses; ///< The highest of each origin.
+    std::optional<TimePoint> m_heardAt;         ///< When one of them grew last.
     TimePoint m_startedAt{};
     PeerState m_state = PeerState::Fresh;
     std::optional<TimePoint>
--- a/src/core/directory/peer_view.h
+++ b/src/core/directory/peer_view.h
@@ -6,6 +6,7 @@
 #include "core/directory/collection_copy.h"
 #include "core/endpoint.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -20,14 +21,46 @@
     Duration wait{0}; ///< Longest wait where nothing is newer.
     Endpoint asker;   ///< Where the asking daemon answers such questions itself.
     std::string domain;
+    /// Since the store confirmed the asking daemon's own copy; nothing where it has none. One that
+    /// is younger than the copy of the daemon that is asked may help that one.
+    std::optional<Duration> age;
+    /// The origin that the asking daemon is linked to, and its highest pulse so far.
+    Endpoint origin;
+    std::uint64_t pulse = 0;
+    /// Only a look: to be answered at once, and to take no seat.
+    bool look = false;
 };
 
+/// \brief How a daemon's copy comes from the store.
+struct Lineage
+{
+    /// The daemon itself, the one that it has its copy from, and so on up to the origin, which
+    /// looks after the store. A daemon that finds itself here must not take its copy from there:
+    /// both would wait for each other.
+    std::vector<Endpoint> path;
+    Endpoint origin; ///< The daemon that looks after the store; null where none is known.
+    /// Counted by the origin. Whoever sees it grow is linked to the origin, however old the copy
+    /// is; among daemons that only have their copies from each other it stands.
+    std::uint64_t pulse = 0;
+};
+
+/// One count of a pulse: finer than the second in which followers ask.
+inline constexpr Duration PulseUnit = 100ms;
+/// Followers hear of a pulse after so many counts: less than the shortest wait of the first hop, so
+/// that each of them gets it at once, however many hops away.
+inline constexpr std::uint64_t LeastNewsOfPulse = 5;
+
 /// \brief What the daemon knows, or whom to ask instead.
 struct PeerAnswer
 {
     std::string domain;
     CollectionDelta delta;
     Duration age{0}; ///< Since the store confirmed the copy.
+    Lineage lineage; ///< Of the answering daemon.
+    /// The asking daemon is one of the few that the answering one answers while all is well. While
+    /// the copy is out of date everybody is answered, and only these look at the store for
+    /// themselves.
+    bool seated = true;
     /// Daemons that have a copy from this one, which answers enough already; the rest is empty.
     std::vector<Endpoint> redirect;
 };
--- a/src/core/directory/view_relay.cpp
+++ b/src/core/directory/view_relay.cpp
@@ -29,17 +29,26 @@
         return;
     }
     ++m_lastId;
-    // Where this copy is out of date, so are those of the daemons that have it from here: to send
-    // the asking one through the whole tree would find nothing better.
-    const bool stale = m_ports.now() - *copy->second->confirmedAt() > m_settings.staleAfter;
-    if (!stale && !admit(question)) {
-        PeerAnswer elsewhere;
-        elsewhere.domain = m_domain;
-        elsewhere.redirect = others(question.domain);
-        reply(std::move(elsewhere));
+    const bool stale = ageOf(*copy->second) > m_settings.staleAfter;
+    if (stale && question.age && *question.age <= m_settings.staleAfter)
+        m_ports.fresher(question.prefix, question.asker);
+    // While this copy is out of date, so are those of the daemons that have it from here: one that
+    // has nothing at all is not sent through the whole tree for the same.
+    const bool answered = question.look || (stale && question.after.isNull());
+    std::vector<Endpoint> elsewhere = answered ? std::vector<Endpoint>{} : redirect(question);
+    if (!elsewhere.empty()) {
+        PeerAnswer answer;
+        answer.domain = m_domain;
+        answer.redirect = std::move(elsewhere);
+        reply(std::move(answer));
         return;
     }
-    const bool news = question.after.isNull() || copy->second->changedSince(question.after);
+    const Lineage lineage = m_ports.lineage(question.prefix);
+    // One that asks a moment after the others were told would hear a whole wait later, at each hop.
+    const bool missed = !lineage.origin.isNull() && lineage.origin == question.origin
+                        && lineage.pulse >= question.pulse + LeastNewsOfPulse;
+    const bool news
+        = missed || question.after.isNull() || copy->second->changedSince(question.after);
     if (news || question.wait <= Duration{0}) {
         reply(answer(*copy->second, question));
         return;
@@ -53,31 +62,76 @@
                   });
 }
 
+// Trees that stay within a failure domain outlive its being cut off, and don't cross the dear
+// links.
+std::optional<Endpoint> ViewRelay::rootIn(const std::string &prefix,
+                                          const std::string &domain) const
+{
+    const auto followers = m_followers.find(prefix);
+    if (followers == m_followers.end())
+        return std::nullopt;
+    for (const auto &[address, follower] : followers->second) {
+        if (follower.domain == domain && m_ports.isRoot(address))
+            return address;
+    }
+    return std::nullopt;
+}
+
+std::vector<Endpoint> ViewRelay::redirect(const PeerQuestion &question)
+{
+    const bool far = question.domain != m_domain && !m_ports.isRoot(question.asker);
+    const auto nearRoot = far ? rootIn(question.prefix, question.domain) : std::nullopt;
+    if (nearRoot && !m_followers[question.prefix].contains(question.asker))
+        return {*nearRoot};
+    const bool seated = admit(question) || m_ports.isRoot(question.asker);
+    return seated ? std::vector<Endpoint>{} : others(question.prefix, question.domain);
+}
+
 bool ViewRelay::admit(const PeerQuestion &question)
 {
     const TimePoint now = m_ports.now();
-    std::erase_if(m_followers, [&](const auto &item) {
+    Followers &followers = m_followers[question.prefix];
+    std::erase_if(followers, [&](const auto &item) {
         return now - item.second.seenAt > m_settings.followerTimeout;
     });
-    const auto known = m_followers.find(question.asker);
-    if (known == m_followers.end() && m_followers.size() >= m_settings.maxFollowers)
+    if (!followers.contains(question.asker) && followers.size() >= m_settings.maxFollowers)
         return false;
-    m_followers[question.asker] = {now, question.domain};
+    Follower &follower = followers[question.asker];
+    follower.seenAt = now;
+    follower.domain = question.domain;
     return true;
 }
 
-std::vector<Endpoint> ViewRelay::others(const std::string &domain) const
+std::size_t ViewRelay::followers() const noexcept
 {
-    std::vector<Endpoint> near;
-    std::vector<Endpoint> far;
-    for (const auto &[address, follower] : m_followers)
-        (follower.domain == domain ? near : far).push_back(address);
-    near.insert(near.end(), far.begin(), far.end());
-    // By turns, so that those who come together don't all go to the same one.
-    const std::size_t first = near.empty() ? 0 : m_lastId % near.size();
-    std::rotate(near.begin(), near.begin() + static_cast<std::ptrdiff_t>(first), near.end());
-    near.resize(std::min(near.size(), MostNamed));
-    return near;
+    std::size_t most = 0;
+    for (const auto &[prefix, followers] : m_followers)
+        most = std::max(most, followers.size());
+    return most;
+}
+
+// By turns, so that the tree fills evenly: sent on at random, daemons that started together ended
+// up to twenty hops from the store.
+std::vector<Endpoint> ViewRelay::others(const std::string &prefix, const std::string &domain)
+{
+    std::vector<std::pair<Endpoint, Follower *>> ranked;
+    for (auto &[address, follower] : m_followers[prefix])
+        ranked.emplace_back(address, &follower);
+    const auto rank = [&domain](const Follower &follower) {
+        return std::pair{follower.domain == domain ? 0 : 1, follower.sent};
+    };
+    std::stable_sort(ranked.begin(), ranked.end(), [&](const auto &a, const auto &b) {
+        return rank(*a.second) < rank(*b.second);
+    });
+    std::vector<Endpoint> named;
+    for (const auto &[address, follower] : ranked) {
+        if (named.size() == MostNamed)
+            break;
+        named.push_back(address);
+    }
+    if (!ranked.empty())
+        ++ranked.front().second->sent;
+    return named;
 }
 
 PeerReply ViewRelay::answer(const CollectionCopy &copy, const PeerQuestion &question) const
@@ -87,10 +141,18 @@
     PeerAnswer answer;
     answer.domain = m_domain;
     answer.delta = copy.since(question.after);
-    answer.age = m_ports.now() - *copy.confirmedAt();
+    answer.age = ageOf(copy);
+    answer.lineage = m_ports.lineage(question.prefix);
+    const auto followers = m_followers.find(question.prefix);
+    answer.seated = followers != m_followers.end() && followers->second.contains(question.asker);
     return answer;
 }
 
+Duration ViewRelay::ageOf(const CollectionCopy &copy) const
+{
+    return m_ports.now() - *copy.confirmedAt();
+}
+
 void ViewRelay::changed(const std::string &prefix)
 {
     std::vector<Waiting> due;
--- a/src/core/directory/view_relay.h
+++ b/src/core/directory/view_relay.h
@@ -13,8 +13,8 @@
 /// \brief Bounds of a ViewRelay.
 struct RelaySettings
 {
-    /// Daemons that are answered; more are sent on to one of these. With two questions a second
-    /// each, of about 250 bytes with their answers, 8 take the 2 KB/s that control may.
+    /// Daemons that are answered, for each collection; more are sent on to one of these. \see
+    /// docs/CAPACITY.md for the bytes.
     std::size_t maxFollowers = 8;
     Duration followerTimeout = 2500ms; ///< Of two questions in a row; then its place is free.
     Duration longestWait = 5s;         ///< Of one question, whatever it asks for.
@@ -32,6 +32,11 @@
     {
         std::function<TimePoint()> now;
         std::function<void(Duration, std::function<void()>)> after;
+        /// How this daemon's copy of a collection comes from the store.
+        std::function<Lineage(const std::string &prefix)> lineage;
+        std::function<bool(const Endpoint &daemon)> isRoot;
+        /// A daemon has asked whose own copy is younger than this one, which is out of date.
+        std::function<void(const std::string &prefix, const Endpoint &fresher)> fresher;
     };
 
     ViewRelay(std::string domain, RelaySettings settings, Ports ports);
@@ -44,7 +49,8 @@
     void ask(const PeerQuestion &question, Reply reply);
     /// \brief A copy changed: answers those who wait for it.
     void changed(const std::string &prefix);
-    [[nodiscard]] std::size_t followers() const noexcept { return m_followers.size(); }
+    /// \return Daemons that have a copy from here, of the collection that most have.
+    [[nodiscard]] std::size_t followers() const noexcept;
 
 private:
     struct Waiting
@@ -57,18 +63,27 @@
     {
         TimePoint seenAt{};
         std::string domain;
+        std::uint32_t sent = 0; ///< Daemons that were sent on to it.
     };
 
+    using Followers = std::map<Endpoint, Follower>;
+
     [[nodiscard]] PeerReply answer(const CollectionCopy &copy, const PeerQuestion &question) const;
+    [[nodiscard]] Duration ageOf(const CollectionCopy &copy) const;
     [[nodiscard]] bool admit(const PeerQuestion &question);
-    [[nodiscard]] std::vector<Endpoint> others(const std::string &domain) const;
+    [[nodiscard]] std::optional<Endpoint> rootIn(const std::string &prefix,
+                                                 const std::string &domain) const;
+    /// \return Whom the asking daemon should ask instead; empty for nobody.
+    [[nodiscard]] std::vector<Endpoint> redirect(const PeerQuestion &question);
+    [[nodiscard]] std::vector<Endpoint> others(const std::string &prefix,
+                                               const std::string &domain);
     void timeOut(std::uint64_t id);
 
     std::string m_domain;
     RelaySettings m_settings;
     Ports m_ports;
     std::map<std::string, const CollectionCopy *> m_copies;
-    std::map<Endpoint, Follower> m_followers;
+    std::map<std::string, Followers> m_followers; ///< By collection.
     std::list<Waiting> m_waiting;
     std::uint64_t m_lastId = 0;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/src/daemon/direct/direct_log.cpp
+++ b/src/daemon/direct/direct_log.cpp
@@ -86,8 +86,8 @@
     }
     LogEvent operator()(const PeerContact &in) const
     {
-        constexpr std::array<std::string_view, 3> events{"peers_fresh", "peers_stale",
-                                                         "peers_lost"};
+        constexpr std::array<std::string_view, 4> events{"peers_fresh", "peers_waiting",
+                                                         "peers_stale", "peers_lost"};
         LogEvent event{in.state == PeerState::Fresh ? Severity::Info : Severity::Warning,
                        Part::Distribution, events[static_cast<std::size_t>(in.state)]};
         event.field("collection", in.collection);
--- a/src/wire/view_form.cpp
+++ b/src/wire/view_form.cpp
@@ -51,11 +51,13 @@
 
 std::string toJson(const PeerQuestion &question)
 {
-    return json::serialize(json::object{{"prefix", question.prefix},
-                                        {"after", question.after.value()},
-                                        {"wait_us", micros(question.wait)},
-                                        {"asker", textOf(question.asker)},
-                                        {"domain", question.domain}});
+    json::object out{{"prefix", question.prefix},        {"after", question.after.value()},
+                     {"wait_us", micros(question.wait)}, {"asker", textOf(question.asker)},
+                     {"domain", question.domain},        {"origin", textOf(question.origin)},
+                     {"pulse", question.pulse},          {"look", question.look}};
+    if (question.age)
+        out["age_us"] = micros(*question.age);
+    return json::serialize(out);
 }
 
 std::string toJson(const PeerAnswer &answer)
@@ -68,6 +70,12 @@
         return json::serialize(out);
     }
     const CollectionChange &change = answer.delta.change;
+    out["seated"] = answer.seated;
+    out["origin"] = textOf(answer.lineage.origin);
+    out["pulse"] = answer.lineage.pulse;
+    json::array &path = out["path"].emplace_array();
+    for (const Endpoint &endpoint : answer.lineage.path)
+        path.emplace_back(toString(endpoint));
     out["version"] = change.version.value();
     out["complete"] = answer.delta.complete;
     out["after_outage"] = change.afterOutage;
@@ -88,6 +96,13 @@
         question.wait = Duration{root.at("wait_us").to_number<std::uint32_t>()};
         question.asker = endpointOf(root.at("asker"));
         question.domain = textOf(root.at("domain"));
+        if (const json::value *origin = root.if_contains("origin")) {
+            question.origin = endpointOf(*origin);
+            question.pulse = root.at("pulse").to_number<std::uint64_t>();
+            question.look = root.at("look").as_bool();
+        }
+        if (const json::value *age = root.if_contains("age_us"))
+            question.age = Duration{age->to_number<std::int64_t>()};
         return question;
     });
 }
@@ -103,6 +118,13 @@
                 answer.redirect.push_back(endpointOf(address));
             return answer;
         }
+        if (const json::value *path = root.if_contains("path")) {
+            answer.seated = root.at("seated").as_bool();
+            answer.lineage.origin = endpointOf(root.at("origin"));
+            answer.lineage.pulse = root.at("pulse").to_number<std::uint64_t>();
+            for (const json::value &address : path->as_array())
+                answer.lineage.path.push_back(endpointOf(address));
+        }
         CollectionChange &change = answer.delta.change;
         change.version = ObjectVersion{root.at("version").to_number<std::uint64_t>()};
         answer.delta.complete = root.at("complete").as_bool();
--- a/tests/directory/cluster_test.cpp
+++ b/tests/directory/cluster_test.cpp
@@ -164,6 +164,57 @@
         cr_assert(cluster.node(index)->fresh());
 }
 
+// The store is away from all for ten seconds, at the size to design for. If every follower looked
+// for itself, 1,254 calls would fall into less than half a second, and again later; and if every
+// one left the daemon that it has its copy from, the three roots would be asked hundreds of times a
+// second.
+Test(directory, anOutageAtSixHundredDaemonsIsLookedAtByFew)
+{
+    DirectCluster cluster{630, 3, 16};
+    add(cluster, 1);
+    cluster.time.run(10s);
+    cluster.store.down = true;
+    const std::uint64_t before = cluster.store.calls();
+    std::vector<std::uint64_t> askedBefore;
+    for (std::size_t root = 0; root < 3; ++root)
+        askedBefore.push_back(cluster.askedOf(root));
+    cluster.time.run(10s);
+    const std::uint64_t calls = cluster.store.calls() - before;
+    // Three roots that try each second make 80. Of each collection 24 daemons have seats at a root;
+    // each looks up to four times in this time: 192. The rest is for seats that change hands.
+    cr_assert_leq(calls, 400, "%lu calls", calls);
+    for (std::size_t root = 0; root < 3; ++root) {
+        const std::uint64_t asked = cluster.askedOf(root) - askedBefore[root];
+        cr_assert_leq(asked, 10 * 60, "%lu questions to a root in 10 s", asked);
+    }
+    cluster.store.down = false;
+    cluster.time.run(3s);
+    for (std::size_t index = 0; index < cluster.size(); ++index)
+        cr_assert(cluster.node(index)->fresh());
+}
+
+// The store refuses all roots and every third daemon, and serves the others, at the size to design
+// for. A few of those that it serves look for themselves; the roots hear of it from them, and with
+// the roots all others, also those that the store refuses. A drain has to be known within three
+// seconds.
+Test(directory, refusedRootsHearOfAChangeFromTheirFollowers)
+{
+    DirectCluster cluster{630, 3, 17};
+    add(cluster, 1);
+    cluster.time.run(10s);
+    for (int index = 0; index < 630; ++index) {
+        if (index < 3 || index % 3 == 0)
+            cluster.store.refused.insert(index);
+    }
+    cluster.store.compact(); // Ends the watches that wait.
+    const std::uint64_t before = cluster.store.calls();
+    add(cluster, 1, "x draining");
+    cluster.time.run(3s);
+    const std::uint64_t calls = cluster.store.calls() - before;
+    cr_assert_eq(placing(cluster, 1), 0, "%zu daemons", placing(cluster, 1));
+    cr_assert_leq(calls, 200, "%lu calls", calls);
+}
+
 // The store refuses some daemons, roots among them, and serves the others. Those hear of a change
 // from the others.
 Test(directory, refusedDaemonsHearFromTheOthers)
--- a/tests/support/direct_cluster.h
+++ b/tests/support/direct_cluster.h
@@ -77,6 +77,8 @@
     [[nodiscard]] DirectNode *node(std::size_t index) { return m_daemons[index]->node.get(); }
     [[nodiscard]] bool frozen(std::size_t index) const { return m_daemons[index]->frozen; }
     [[nodiscard]] std::size_t size() const noexcept { return m_daemons.size(); }
+    /// \return Questions that other daemons have asked this one so far.
+    [[nodiscard]] std::uint64_t askedOf(std::size_t index) const { return m_daemons[index]->asked; }
 
     /// \return Whether the daemon would place a new flow at the target.
     [[nodiscard]] bool places(std::size_t index, std::uint64_t target)
@@ -104,6 +106,7 @@
         std::unique_ptr<DirectNode> node;
         std::shared_ptr<bool> life;
         bool frozen = false;
+        std::uint64_t asked = 0; ///< Questions of other daemons.
         std::vector<std::function<void()>> missed;
     };
 
@@ -168,6 +171,7 @@
         const std::size_t to = peer.address - addressOf(0).address;
         if (cutFromPeers.contains(from) || cutFromPeers.contains(to))
             return;
+        ++m_daemons[to]->asked;
         time.after(Hop, [this, from, to, question, once] {
             if (!m_daemons[to]->node) {
                 time.after(Hop, [once] { once(std::nullopt); }); // Connection refused.
