--- a/src/daemon/direct/direct_daemon.cpp
+++ b/src/daemon/direct/direct_daemon.cpp
@@ -133,7 +133,7 @@
 
 void DirectDaemon::startNode()
 {
-    const PeerIdentity identity{m_settings.addresses.peers, m_settings.domain};
+    const PeerIdentity identity{m_settings.addresses.identity(), m_settings.domain};
     m_node = std::make_unique<DirectNode>(identity, m_settings.node, ports(), m_seed);
     m_node->start(m_settings.roots);
 }
@@ -284,7 +284,7 @@
     const auto body = readStatementBody(request.body);
     if (const auto *finding = std::get_if<std::string>(&body))
         return usageReply(400, *finding);
-    const DirectBackend backend{m_settings.name, m_settings.domain, m_settings.addresses.peers,
+    const DirectBackend backend{m_settings.name, m_settings.domain, m_settings.addresses.identity(),
                                 m_node.get(),    monotonicNow(),    metrics};
     return resultReply(200, executeDirect(backend, std::get<language::Request>(body).text));
 }
--- a/src/daemon/direct/direct_settings.h
+++ b/src/daemon/direct/direct_settings.h
@@ -15,6 +15,14 @@
     Endpoint readiness; ///< TCP, HTTP; whoever spreads packets over daemons asks here.
     Endpoint metrics;   ///< TCP, HTTP; null for none.
     Endpoint peers;     ///< TCP, HTTP; other daemons ask here. Null for none.
+    /// Where they reach \a peers, if it is not there, as behind a relay; null where it is.
+    Endpoint peersReachedAt;
+
+    /// \return The address by which other daemons know this one.
+    [[nodiscard]] const Endpoint &identity() const noexcept
+    {
+        return peersReachedAt.isNull() ? peers : peersReachedAt;
+    }
 };
 
 /// \brief All that the settings file of such a daemon says.
--- a/src/daemon/settings/settings_reader.cpp
+++ b/src/daemon/settings/settings_reader.cpp
@@ -216,6 +216,7 @@
     reader.endpoint("readiness", out.readiness, Presence::Required);
     reader.endpoint("metrics", out.metrics);
     reader.endpoint("peers", out.peers);
+    reader.endpoint("peersReachedAt", out.peersReachedAt);
     if (!out.readiness.isNull() && out.readiness == out.metrics)
         reader.note("metrics", "must not be the same as addresses.readiness");
 }
@@ -326,7 +327,6 @@
     return std::get<Result>(std::move(result));
 }
 
-/// \return The file's content, or nothing where it can't be opened.
 [[nodiscard]] Findings notOpened(const std::filesystem::path &path)
 {
     return {{path.string(), "can't be opened"}};
--- a/standins/direct/tcp_proxy.h
+++ b/standins/direct/tcp_proxy.h
@@ -27,9 +27,16 @@
     using tcp = boost::asio::ip::tcp;
 
     TcpProxy(boost::asio::io_context &context, std::uint16_t server)
+        : TcpProxy(context, {boost::asio::ip::address_v4::loopback(), 0},
+                   {boost::asio::ip::address_v4::loopback(), server})
+    {
+    }
+
+    TcpProxy(boost::asio::io_context &context, const tcp::endpoint &local,
+             const tcp::endpoint &server)
         : m_context(context)
-        , m_acceptor(context, {boost::asio::ip::address_v4::loopback(), 0})
-        , m_server(boost::asio::ip::address_v4::loopback(), server)
+        , m_acceptor(context, local)
+        , m_server(server)
     {
         accept();
     }
--- a/standins/direct/world.h
+++ b/standins/direct/world.h
@@ -33,6 +33,8 @@
         writeRoutes();
         for (std::size_t index = 0; index < daemons; ++index) {
             m_proxies.push_back(std::make_unique<TcpProxy>(m_context, storePort()));
+            m_peerProxies.push_back(std::make_unique<TcpProxy>(
+                m_context, tcpEndpoint(peerAddress(index)), tcpEndpoint(peerListener(index))));
             m_daemons.push_back(nullptr);
             m_misses.push_back(FirstMisses);
         }
@@ -49,6 +51,8 @@
     [[nodiscard]] std::size_t daemonCount() const noexcept { return m_daemons.size(); }
     [[nodiscard]] bool running(std::size_t index) const { return m_daemons[index] != nullptr; }
     [[nodiscard]] TcpProxy &storeOf(std::size_t index) { return *m_proxies[index]; }
+    /// \return The proxy by which other daemons reach a daemon.
+    [[nodiscard]] TcpProxy &peersOf(std::size_t index) { return *m_peerProxies[index]; }
     [[nodiscard]] std::vector<std::unique_ptr<Caller>> &callers() noexcept { return m_callers; }
     [[nodiscard]] std::size_t inRotation() const noexcept { return m_rotation.daemons.size(); }
     [[nodiscard]] static Endpoint routeOf(int number)
@@ -210,6 +214,17 @@
         return {0x7F000032U + static_cast<std::uint32_t>(index), m_ports[1]};
     }
 
+    /// \return Where a daemon listens for others, who know it by its peerAddress().
+    [[nodiscard]] Endpoint peerListener(std::size_t index) const
+    {
+        return {0x7F000096U + static_cast<std::uint32_t>(index), m_ports[1]};
+    }
+
+    [[nodiscard]] static TcpProxy::tcp::endpoint tcpEndpoint(const Endpoint &endpoint)
+    {
+        return {boost::asio::ip::address_v4(endpoint.address), endpoint.port};
+    }
+
     [[nodiscard]] Endpoint readinessAddress(std::size_t index) const
     {
         return {0x7F000064U + static_cast<std::uint32_t>(index), m_ports[1]};
@@ -235,7 +250,8 @@
              {{"packets", toString(daemonAddress(index, 0))},
               {"metrics", toString(daemonAddress(index, 1))},
               {"readiness", toString(readinessAddress(index))},
-              {"peers", toString(peerAddress(index))}}},
+              {"peers", toString(peerListener(index))},
+              {"peersReachedAt", toString(peerAddress(index))}}},
             {"store",
              {{"address", "127.0.0.1:" + std::to_string(m_proxies[index]->port())},
               {"timeout", "1s"}}},
@@ -366,6 +382,7 @@
     HttpClient m_http{m_context};
     boost::asio::steady_timer m_probeTimer{m_context};
     std::vector<std::unique_ptr<TcpProxy>> m_proxies;
+    std::vector<std::unique_ptr<TcpProxy>> m_peerProxies;
     std::vector<std::unique_ptr<TcpProxy>> m_movedProxies; ///< Links of theirs may still end.
     std::vector<std::unique_ptr<test::Process>> m_daemons;
     std::vector<int> m_misses;
