Keep what daemons tell each other near 2 KB/s: longer waits, four followers, short answers

Cause, by the new bench-directory: at 630 daemons each sent 3.1 KB/s to others on average and 15.6 KB/s at most, counted with heads of 204 bytes a message (now 142, worked out more exactly); control may take 2. Each follower asked 1.3 times a second for each collection, though the news comes each 1.5 s.

A question now waits 1.6 s, just longer than a root's watch; four followers have seats instead of eight; what has its usual value is left out of the JSON. A source that dies silently is noticed after 2.0 s instead of 1.4.

Ruled out: three followers (827 calls in the outage test instead of under 400: paths grow too long); a watch of 1.2 s instead (a quarter more store calls).

bench-directory, 300 daemons: 775 bytes/s on average, 2,351 at a root (the three roots are above 2 KB/s still), 4 store calls a second, a change in force after 3 ms, 8 at worst, 204 calls in an outage of 10 s (9,101 with every daemon watching).

--- /dev/null
+++ b/bench/directory.cpp
@@ -0,0 +1,165 @@
+/// \file
+/// \brief The directory on many daemons, in virtual time: calls to the store, questions and bytes
+/// between daemons, time until a change is in force, and processor time, by number of daemons and
+/// by who watches the store.
+
+#include "support/direct_cluster.h"
+
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <ctime>
+#include <iomanip>
+#include <iostream>
+
+DEFINE_uint64(targets, 0, "registered targets; 0 for seven for each daemon, as 4,400 for 630");
+DEFINE_uint64(seconds, 60, "quiet seconds that are measured");
+
+namespace {
+
+using namespace baobabtrail;
+using namespace baobabtrail::test;
+
+/// Of each message on top of its body: an HTTP head, IP and TCP heads, and those of an
+/// acknowledgement of its own for every second one: the next question acknowledges the last answer.
+/// Worked out from the formats, not measured.
+constexpr std::uint64_t HeadBytes = 64 + 52 + 52 / 2;
+constexpr Duration SettleTime = 20s;
+constexpr Duration Outage = 10s;
+constexpr int Changes = 20;
+
+[[nodiscard]] double processorSeconds()
+{
+    return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
+
+/// \brief Rates of one daemon.
+struct Rates
+{
+    double mean = 0;
+    double most = 0;
+};
+
+/// \brief One size: a cluster that settles, then a quiet time, changes and an outage.
+class Run
+{
+public:
+    Run(std::size_t daemons, std::size_t roots)
+        : m_cluster(daemons, roots, 1)
+    {
+        const std::uint64_t targets = FLAGS_targets > 0 ? FLAGS_targets : daemons * 7;
+        for (std::uint64_t id = 1; id <= targets; ++id)
+            m_cluster.store.put(DirectCluster::targetKey(id), "x ready");
+        m_cluster.time.run(SettleTime);
+    }
+
+    void print(const std::string &way)
+    {
+        const double calls = quiet();
+        const auto [half, worst] = changes();
+        std::cout << std::left << std::setw(12) << way << std::right << std::setw(8)
+                  << m_cluster.size() << std::fixed << std::setprecision(1) << std::setw(10)
+                  << calls << std::setw(9) << m_bytes.mean << std::setw(9) << m_bytes.most
+                  << std::setw(9) << m_asked.most << std::setprecision(4) << std::setw(10)
+                  << m_share * 100 << std::setprecision(0) << std::setw(9) << half << std::setw(9)
+                  << worst << std::setw(9) << outage() << std::endl;
+    }
+
+private:
+    /// \return Calls to the store a second; sets bytes, questions and processor time a daemon.
+    double quiet()
+    {
+        std::vector<std::uint64_t> bytes;
+        std::vector<std::uint64_t> asked;
+        m_cluster.countBytes = true;
+        for (std::size_t index = 0; index < m_cluster.size(); ++index) {
+            bytes.push_back(bytesOf(index));
+            asked.push_back(m_cluster.askedOf(index));
+        }
+        const std::uint64_t calls = m_cluster.store.calls();
+        const double began = processorSeconds();
+        const std::chrono::seconds span{FLAGS_seconds};
+        m_cluster.time.run(span);
+        const auto seconds = static_cast<double>(FLAGS_seconds);
+        m_share = (processorSeconds() - began) / seconds / static_cast<double>(m_cluster.size());
+        m_bytes = {};
+        m_asked = {};
+        for (std::size_t index = 0; index < m_cluster.size(); ++index) {
+            add(m_bytes, static_cast<double>(bytesOf(index) - bytes[index]) / seconds);
+            add(m_asked, static_cast<double>(m_cluster.askedOf(index) - asked[index]) / seconds);
+        }
+        m_cluster.countBytes = false;
+        return static_cast<double>(m_cluster.store.calls() - calls) / seconds;
+    }
+
+    void add(Rates &rates, double rate) const
+    {
+        rates.mean += rate / static_cast<double>(m_cluster.size());
+        rates.most = std::max(rates.most, rate);
+    }
+
+    [[nodiscard]] std::uint64_t bytesOf(std::size_t index) const
+    {
+        const auto [bytes, messages] = m_cluster.sentBy(index);
+        return bytes + messages * HeadBytes;
+    }
+
+    /// \return Milliseconds until a change is in force on half of the daemons, and on the last one;
+    /// the mean and the worst of several.
+    std::pair<double, double> changes()
+    {
+        double half = 0;
+        double worst = 0;
+        for (int change = 0; change < Changes; ++change) {
+            m_cluster.store.put(DirectCluster::targetKey(1),
+                                change % 2 == 0 ? "x draining" : "x ready");
+            const ObjectVersion version{m_cluster.store.revision()};
+            const TimePoint began = m_cluster.time.now();
+            const auto know = [&](std::size_t least) {
+                std::size_t count = 0;
+                for (std::size_t index = 0; index < m_cluster.size(); ++index)
+                    count += m_cluster.node(index)->version() >= version;
+                return count >= least;
+            };
+            const auto elapsed = [&] {
+                return std::chrono::duration<double, std::milli>(m_cluster.time.now() - began)
+                    .count();
+            };
+            m_cluster.time.runUntil([&] { return know((m_cluster.size() + 1) / 2); }, 10s);
+            half += elapsed() / Changes;
+            m_cluster.time.runUntil([&] { return know(m_cluster.size()); }, 10s);
+            worst = std::max(worst, elapsed());
+            m_cluster.time.run(2s + 137ms);
+        }
+        return {half, worst};
+    }
+
+    /// \return Calls to a store that answers nobody for a while.
+    std::uint64_t outage()
+    {
+        const std::uint64_t before = m_cluster.store.calls();
+        m_cluster.store.down = true;
+        m_cluster.time.run(Outage);
+        return m_cluster.store.calls() - before;
+    }
+
+    DirectCluster m_cluster;
+    Rates m_bytes;
+    Rates m_asked;
+    double m_share = 0;
+};
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    std::cout << "way          daemons   calls/s  bytes/s  most     asked/s   core, %  force ms"
+                 "    worst   outage\n";
+    constexpr std::size_t roots = 3;
+    for (const std::size_t daemons : {9, 30, 91, 300, 630}) {
+        Run{daemons, 0}.print("all watch");
+        Run{daemons, roots}.print("three roots");
+    }
+    return 0;
+}
--- a/src/core/directory/peer_feed.h
+++ b/src/core/directory/peer_feed.h
@@ -16,7 +16,10 @@
 /// \brief Times of a PeerFeed.
 struct PeerSettings
 {
-    Duration wait = 1s; ///< One question; a peer that died silently costs this and the timeout.
+    /// One question: just longer than a root's watch, with whose end the answer comes by itself. A
+    /// peer that died silently costs this and the timeout, and another one has to be asked within
+    /// the three seconds after which a change is in force.
+    Duration wait = 1600ms;
     Duration timeout = 400ms; ///< On top of the wait; peers answer within milliseconds.
     /// The same while this daemon has no copy at all: the machine that is asked may be dark after
     /// the fault that ended this daemon too, and callers wait.
@@ -26,9 +29,9 @@
     /// Between two looks at a root whose copy was out of date, by those who wait at another one.
     Duration staleRetry = 2s;
     /// A source whose origin's pulse has stood for so long is linked to nobody. The pulse comes
-    /// once a second (the wait), and has to stand for less than what makes a copy stale: in a ring
-    /// of daemons both stop at once.
-    Duration unlinkedAfter = 2s;
+    /// with each question (the wait), and has to stand for less than what makes a copy stale: in a
+    /// ring of daemons both stop at once.
+    Duration unlinkedAfter = 2100ms;
     /// Age at which a peer's copy is no better than none: a watch of a root at the store takes 1.5
     /// s, its followers hear of its end at once, and 0.7 s are for slow answers. Half a second
     /// later a daemon has to have asked the store itself, to know of a change within three seconds.
--- a/src/core/directory/view_relay.cpp
+++ b/src/core/directory/view_relay.cpp
@@ -83,8 +83,7 @@
     const auto nearRoot = far ? rootIn(question.prefix, question.domain) : std::nullopt;
     if (nearRoot && !m_followers[question.prefix].contains(question.asker))
         return {*nearRoot};
-    const bool seated = admit(question) || m_ports.isRoot(question.asker);
-    return seated ? std::vector<Endpoint>{} : others(question.prefix, question.domain);
+    return admit(question) ? std::vector<Endpoint>{} : others(question.prefix, question.domain);
 }
 
 bool ViewRelay::admit(const PeerQuestion &question)
@@ -94,7 +93,13 @@
     std::erase_if(followers, [&](const auto &item) {
         return now - item.second.seenAt > m_settings.followerTimeout;
     });
-    if (!followers.contains(question.asker) && followers.size() >= m_settings.maxFollowers)
+    // Roots ask each other seldom once each has the store, and must not take their followers'
+    // places.
+    const auto taken = std::count_if(followers.begin(), followers.end(), [this](const auto &item) {
+        return !m_ports.isRoot(item.first);
+    });
+    const bool full = static_cast<std::size_t>(taken) >= m_settings.maxFollowers;
+    if (full && !followers.contains(question.asker) && !m_ports.isRoot(question.asker))
         return false;
     Follower &follower = followers[question.asker];
     follower.seenAt = now;
--- a/src/core/directory/view_relay.h
+++ b/src/core/directory/view_relay.h
@@ -13,10 +13,11 @@
 /// \brief Bounds of a ViewRelay.
 struct RelaySettings
 {
-    /// Daemons that are answered, for each collection; more are sent on to one of these. \see
-    /// docs/CAPACITY.md for the bytes.
-    std::size_t maxFollowers = 8;
-    Duration followerTimeout = 2500ms; ///< Of two questions in a row; then its place is free.
+    /// Daemons that are answered, for each collection; more are sent on to one of these. With an
+    /// answer each 1.5 s to each, four cost 1.7 KB/s of the 2 KB/s that control may; a root, which
+    /// also answers two others, 2.4.
+    std::size_t maxFollowers = 4;
+    Duration followerTimeout = 3500ms; ///< Of two questions in a row; then its place is free.
     Duration longestWait = 5s;         ///< Of one question, whatever it asks for.
     /// Age beyond which a copy is answered from for everybody; as PeerSettings::staleAfter.
     Duration staleAfter = 2200ms;
--- a/src/wire/view_form.cpp
+++ b/src/wire/view_form.cpp
@@ -35,6 +35,28 @@
     return endpoint.isNull() ? std::string{} : toString(endpoint);
 }
 
+[[nodiscard]] json::array listOf(const std::vector<Endpoint> &endpoints)
+{
+    json::array out;
+    for (const Endpoint &endpoint : endpoints)
+        out.emplace_back(toString(endpoint));
+    return out;
+}
+
+[[nodiscard]] std::vector<Endpoint> endpointsOf(const json::value &value)
+{
+    std::vector<Endpoint> out;
+    for (const json::value &address : value.as_array())
+        out.push_back(endpointOf(address));
+    return out;
+}
+
+[[nodiscard]] bool flagOf(const json::object &object, std::string_view name, bool usually)
+{
+    const json::value *value = object.if_contains(name);
+    return value ? value->as_bool() : usually;
+}
+
 /// \brief Nothing that another process sends may end the daemon.
 template <typename Result, typename Read>
 [[nodiscard]] std::optional<Result> parsed(std::string_view text, Read read)
@@ -49,14 +71,24 @@
 
 } // namespace
 
+// What has its usual value is left out: a daemon sends some of these each second, of 2 KB that
+// control may take.
 std::string toJson(const PeerQuestion &question)
 {
-    json::object out{{"prefix", question.prefix},        {"after", question.after.value()},
-                     {"wait_us", micros(question.wait)}, {"asker", textOf(question.asker)},
-                     {"domain", question.domain},        {"origin", textOf(question.origin)},
-                     {"pulse", question.pulse},          {"look", question.look}};
+    json::object out{{"prefix", question.prefix},
+                     {"after", question.after.value()},
+                     {"asker", textOf(question.asker)},
+                     {"domain", question.domain}};
+    if (question.wait > Duration{0})
+        out["wait_us"] = micros(question.wait);
     if (question.age)
         out["age_us"] = micros(*question.age);
+    if (!question.origin.isNull()) {
+        out["origin"] = textOf(question.origin);
+        out["pulse"] = question.pulse;
+    }
+    if (question.look)
+        out["look"] = true;
     return json::serialize(out);
 }
 
@@ -64,26 +96,31 @@
 {
     json::object out{{"domain", answer.domain}, {"age_us", micros(answer.age)}};
     if (!answer.redirect.empty()) {
-        json::array &redirect = out["redirect"].emplace_array();
-        for (const Endpoint &endpoint : answer.redirect)
-            redirect.emplace_back(toString(endpoint));
+        out["redirect"] = listOf(answer.redirect);
         return json::serialize(out);
     }
+    if (!answer.seated)
+        out["seated"] = false;
+    if (!answer.lineage.path.empty())
+        out["path"] = listOf(answer.lineage.path);
+    if (!answer.lineage.origin.isNull()) {
+        out["origin"] = textOf(answer.lineage.origin);
+        out["pulse"] = answer.lineage.pulse;
+    }
     const CollectionChange &change = answer.delta.change;
-    out["seated"] = answer.seated;
-    out["origin"] = textOf(answer.lineage.origin);
-    out["pulse"] = answer.lineage.pulse;
-    json::array &path = out["path"].emplace_array();
-    for (const Endpoint &endpoint : answer.lineage.path)
-        path.emplace_back(toString(endpoint));
     out["version"] = change.version.value();
-    out["complete"] = answer.delta.complete;
-    out["after_outage"] = change.afterOutage;
+    if (answer.delta.complete)
+        out["complete"] = true;
+    if (change.afterOutage)
+        out["after_outage"] = true;
+    if (!change.removed.empty())
+        out["removed"] = json::value_from(change.removed);
+    if (change.written.empty())
+        return json::serialize(out);
     json::array &written = out["written"].emplace_array();
     for (const StoredObject &object : change.written)
         written.push_back(
             {{"key", object.key}, {"version", object.version.value()}, {"value", object.value}});
-    out["removed"] = json::value_from(change.removed);
     return json::serialize(out);
 }
 
@@ -93,16 +130,17 @@
         PeerQuestion question;
         question.prefix = textOf(root.at("prefix"));
         question.after = ObjectVersion{root.at("after").to_number<std::uint64_t>()};
-        question.wait = Duration{root.at("wait_us").to_number<std::uint32_t>()};
         question.asker = endpointOf(root.at("asker"));
         question.domain = textOf(root.at("domain"));
+        if (const json::value *wait = root.if_contains("wait_us"))
+            question.wait = Duration{wait->to_number<std::uint32_t>()};
+        if (const json::value *age = root.if_contains("age_us"))
+            question.age = Duration{age->to_number<std::int64_t>()};
         if (const json::value *origin = root.if_contains("origin")) {
             question.origin = endpointOf(*origin);
             question.pulse = root.at("pulse").to_number<std::uint64_t>();
-            question.look = root.at("look").as_bool();
         }
-        if (const json::value *age = root.if_contains("age_us"))
-            question.age = Duration{age->to_number<std::int64_t>()};
+        question.look = flagOf(root, "look", false);
         return question;
     });
 }
@@ -114,29 +152,30 @@
         answer.domain = textOf(root.at("domain"));
         answer.age = Duration{root.at("age_us").to_number<std::int64_t>()};
         if (const json::value *redirect = root.if_contains("redirect")) {
-            for (const json::value &address : redirect->as_array())
-                answer.redirect.push_back(endpointOf(address));
+            answer.redirect = endpointsOf(*redirect);
             return answer;
         }
-        if (const json::value *path = root.if_contains("path")) {
-            answer.seated = root.at("seated").as_bool();
-            answer.lineage.origin = endpointOf(root.at("origin"));
+        answer.seated = flagOf(root, "seated", true);
+        if (const json::value *path = root.if_contains("path"))
+            answer.lineage.path = endpointsOf(*path);
+        if (const json::value *origin = root.if_contains("origin")) {
+            answer.lineage.origin = endpointOf(*origin);
             answer.lineage.pulse = root.at("pulse").to_number<std::uint64_t>();
-            for (const json::value &address : path->as_array())
-                answer.lineage.path.push_back(endpointOf(address));
         }
         CollectionChange &change = answer.delta.change;
         change.version = ObjectVersion{root.at("version").to_number<std::uint64_t>()};
-        answer.delta.complete = root.at("complete").as_bool();
-        change.afterOutage = root.at("after_outage").as_bool();
-        for (const json::value &value : root.at("written").as_array()) {
-            const json::object &object = value.as_object();
-            change.written.push_back(
-                {textOf(object.at("key")), textOf(object.at("value")),
-                 ObjectVersion{object.at("version").to_number<std::uint64_t>()}});
+        answer.delta.complete = flagOf(root, "complete", false);
+        change.afterOutage = flagOf(root, "after_outage", false);
+        if (const json::value *removed = root.if_contains("removed"))
+            change.removed = json::value_to<std::vector<std::string>>(*removed);
+        if (const json::value *written = root.if_contains("written")) {
+            for (const json::value &value : written->as_array()) {
+                const json::object &object = value.as_object();
+                change.written.push_back(
+                    {textOf(object.at("key")), textOf(object.at("value")),
+                     ObjectVersion{object.at("version").to_number<std::uint64_t>()}});
+            }
         }
-        for (const json::value &key : root.at("removed").as_array())
-            change.removed.push_back(textOf(key));
         return answer;
     });
 }
--- a/tests/support/direct_cluster.h
+++ b/tests/support/direct_cluster.h
@@ -2,6 +2,7 @@
 
 #include "core/direct/direct_node.h"
 #include "support/fake_directory_store.h"
+#include "wire/view_form.h"
 
 #include <memory>
 #include <optional>
@@ -79,6 +80,11 @@
     [[nodiscard]] std::size_t size() const noexcept { return m_daemons.size(); }
     /// \return Questions that other daemons have asked this one so far.
     [[nodiscard]] std::uint64_t askedOf(std::size_t index) const { return m_daemons[index]->asked; }
+    /// \return Bytes that a daemon has sent to others so far, bodies without heads; and how many.
+    [[nodiscard]] std::pair<std::uint64_t, std::uint64_t> sentBy(std::size_t index) const
+    {
+        return {m_daemons[index]->bytes, m_daemons[index]->messages};
+    }
 
     /// \return Whether the daemon would place a new flow at the target.
     [[nodiscard]] bool places(std::size_t index, std::uint64_t target)
@@ -98,6 +104,7 @@
     VirtualTime time;
     FakeDirectoryStore store;
     std::uint64_t asks = 0;             ///< Questions between daemons so far.
+    bool countBytes = false;            ///< Whether sentBy() is kept; it costs time.
     std::set<std::size_t> cutFromPeers; ///< Daemons whose messages to and from others get lost.
 
 private:
@@ -106,7 +113,9 @@
         std::unique_ptr<DirectNode> node;
         std::shared_ptr<bool> life;
         bool frozen = false;
-        std::uint64_t asked = 0; ///< Questions of other daemons.
+        std::uint64_t asked = 0;    ///< Questions of other daemons.
+        std::uint64_t bytes = 0;    ///< Sent to others.
+        std::uint64_t messages = 0; ///< The same.
         std::vector<std::function<void()>> missed;
     };
 
@@ -172,6 +181,8 @@
         if (cutFromPeers.contains(from) || cutFromPeers.contains(to))
             return;
         ++m_daemons[to]->asked;
+        if (countBytes)
+            countSent(from, wire::toJson(question));
         time.after(Hop, [this, from, to, question, once] {
             if (!m_daemons[to]->node) {
                 time.after(Hop, [once] { once(std::nullopt); }); // Connection refused.
@@ -180,6 +191,8 @@
             at(to, [this, from, to, question, once] {
                 m_daemons[to]->node->handle(
                     question, [this, from, to, once](const PeerReply &reply) {
+                        if (countBytes && reply)
+                            countSent(to, wire::toJson(*reply));
                         if (!cutFromPeers.contains(from) && !cutFromPeers.contains(to))
                             time.after(Hop, [once, reply] { once(reply); });
                     });
@@ -187,6 +200,12 @@
         });
     }
 
+    void countSent(std::size_t index, const std::string &body)
+    {
+        m_daemons[index]->bytes += body.size();
+        ++m_daemons[index]->messages;
+    }
+
     [[nodiscard]] static DirectoryReader reader()
     {
         DirectoryReader reader;
