--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # The whole path in separate processes on loopback: platform, three failure domains of daemons,
-# targets, fabric and callers; a drain, a daemon replaced after SIGTERM, another after SIGKILL.
+# targets, fabric and callers; a drain, a daemon replaced after SIGTERM, another after SIGKILL. Then the
+# daemon with direct forwarding, between the platform's stand-ins, under random faults.
 # Prints a table and ends with a status other than 0 where an invariant failed.
 # Usage: scripts/demo.sh [--no-build]
 set -euo pipefail
@@ -374,3 +375,8 @@
     exit 1
 fi
 say "every invariant held"
+
+# The same program with direct forwarding: targets answer callers themselves, and random faults strike.
+say "direct forwarding: six daemons, ten targets, sixteen callers, ten seconds of faults"
+"$bin/bench-soak" --seed 1 --seconds 10 || give_up "the soak of direct forwarding found something"
+say "direct forwarding held"
--- a/src/language/filter_rows.cpp
+++ b/src/language/filter_rows.cpp
@@ -1,20 +1,11 @@
 #include "language/filter_rows.h"
 
 #include <algorithm>
-#include <optional>
 
 namespace baobabtrail::language {
 
 namespace {
 
-[[nodiscard]] std::optional<std::size_t> columnOf(const Result &result, std::string_view column)
-{
-    const auto found = std::find(result.columns.begin(), result.columns.end(), column);
-    if (found == result.columns.end())
-        return std::nullopt;
-    return static_cast<std::size_t>(found - result.columns.begin());
-}
-
 [[nodiscard]] std::string joined(const std::vector<std::string> &words)
 {
     std::string text;
@@ -40,6 +31,14 @@
 
 } // namespace
 
+std::optional<std::size_t> columnOf(const Result &table, std::string_view column)
+{
+    const auto found = std::find(table.columns.begin(), table.columns.end(), column);
+    if (found == table.columns.end())
+        return std::nullopt;
+    return static_cast<std::size_t>(found - table.columns.begin());
+}
+
 Result filterRows(Result table, const std::vector<Filter> &filters)
 {
     std::vector<std::string> findings;
--- a/src/language/impl/queries.cpp
+++ b/src/language/impl/queries.cpp
@@ -4,20 +4,11 @@
 #include "language/impl/tables.h"
 
 #include <algorithm>
-#include <optional>
 
 namespace baobabtrail::language::impl {
 
 namespace {
 
-[[nodiscard]] std::optional<std::size_t> columnOf(const Result &result, std::string_view column)
-{
-    const auto found = std::find(result.columns.begin(), result.columns.end(), column);
-    if (found == result.columns.end())
-        return std::nullopt;
-    return static_cast<std::size_t>(found - result.columns.begin());
-}
-
 [[nodiscard]] Result tableOf(const Backend &backend, Table table)
 {
     switch (table) {
