Let a daemon without a copy look first, and keep the pages of a list

Cause: a daemon that started without a copy gave a peer 100 ms for a whole copy. At 3,000 targets and a link of 2 Mbit/s a copy takes 3 s: with the store down such a daemon never became ready (aWholeCopyComesFromAPeerOverAThinLink failed before), and what it had asked for filled its link all the same. A list of the store whose page was late began anew at its first page.

Now it looks first (100 ms, a few bytes), then asks the one that answered for the whole copy (6 s); more than 500 objects only where the store has failed, so that copies from peer to peer don't fill the links when hundreds start at once. Pages that came are kept. The stand-in of the store in the tests gives pages as asked (it gave everything at once).

allDaemonsKilledWithThinLinksServeSoon is a guard: it passes on the code before too.

--- a/src/core/direct/direct_node.cpp
+++ b/src/core/direct/direct_node.cpp
@@ -217,6 +217,7 @@
         notice(HistoryLost{collection.name, collection.copy.version()});
     const bool lost = !end.failure.empty();
     collection.byStore = !lost;
+    collection.peers.setStoreAway(lost && !end.listing);
     if (!lost && !end.historyGone) {
         tellFollowers(collection);
         // The source itself may be refused by the store, and with it all that have their copies
--- a/src/core/directory/peer_feed.cpp
+++ b/src/core/directory/peer_feed.cpp
@@ -126,7 +126,7 @@
 {
     const Source *source = choose();
     if (source) {
-        askAt(*source);
+        askAt(*source, m_copy.complete() ? Question::Usual : Question::Look);
         return;
     }
     judge();
@@ -134,13 +134,29 @@
         if (!m_copy.complete())
             failed.failedAt.reset(); // Nothing to lose: all are tried again at once.
     }
-    later(m_settings.retry);
+    later(pause());
 }
 
-void PeerFeed::askAt(const Source &source, bool look)
+Duration PeerFeed::pause() const
+{
+    const bool patient = m_ports.now() - m_startedAt < m_settings.patience;
+    const bool storeComes = !m_copy.complete() && !m_storeAway && !patient;
+    return storeComes ? m_settings.firstRetry : m_settings.retry;
+}
+
+void PeerFeed::looked(const Source &source, const PeerAnswer &answer)
+{
+    const bool patient = m_ports.now() - m_startedAt < m_settings.patience;
+    if (m_storeAway || patient || answer.objects <= m_settings.smallCopy)
+        askAt(source, Question::WholeCopy);
+    else
+        later(pause());
+}
+
+void PeerFeed::askAt(const Source &source, Question kind)
 {
     PeerQuestion question;
-    question.look = look;
+    question.look = kind == Question::Look;
     question.prefix = m_prefix;
     question.after = m_copy.version();
     question.asker = m_identity.address;
@@ -150,16 +166,17 @@
     if (const auto confirmed = m_copy.confirmedAt())
         question.age = m_ports.now() - *confirmed;
     // A source that is not known to answer is not waited for.
-    if (source.address == m_source)
+    if (kind == Question::Usual && source.address == m_source)
         question.wait = longestWait();
-    const Duration timeout
-        = question.wait + (m_copy.complete() ? m_settings.timeout : m_settings.firstTimeout);
+    Duration timeout = question.wait + m_settings.timeout;
+    if (!m_copy.complete())
+        timeout = kind == Question::Look ? m_settings.firstTimeout : m_settings.copyTimeout;
     m_ports.ask(source.address, question, timeout,
-                [this, address = source.address, run = std::weak_ptr{m_run},
+                [this, address = source.address, kind, run = std::weak_ptr{m_run},
                  mine = *m_run](PeerReply reply) {
                     const auto current = run.lock();
                     if (current && *current == mine)
-                        onReply(address, std::move(reply));
+                        onReply(address, kind, std::move(reply));
                 });
 }
 
@@ -199,7 +216,7 @@
         m_pulses = {{lineage.origin, lineage.pulse}};
 }
 
-void PeerFeed::onReply(const Endpoint &address, PeerReply reply)
+void PeerFeed::onReply(const Endpoint &address, Question kind, PeerReply reply)
 {
     Source *source = find(address);
     if (!source || !reply) {
@@ -220,6 +237,10 @@
         return;
     }
     hear(reply->lineage);
+    if (kind == Question::Look && !m_copy.complete()) {
+        looked(*source, *reply);
+        return;
+    }
     if (!take(*reply)) {
         stale(address, reply->seated);
         return;
@@ -255,9 +276,9 @@
 void PeerFeed::redirect(Source &from, const std::vector<Endpoint> &to)
 {
     from.failedAt = m_ports.now();
-    for (auto address = to.rbegin(); address != to.rend(); ++address) { // The best comes first.
-        if (*address != m_identity.address && !address->isNull())
-            add(*address);
+    for (const Endpoint &address : to) {
+        if (address != m_identity.address && !address.isNull())
+            add(address);
     }
 }
 
@@ -314,7 +335,7 @@
         return !failed && !seen;
     });
     if (untried != m_sources.end()) {
-        askAt(*untried, true);
+        askAt(*untried, Question::Look);
         return;
     }
     m_source = address;
--- a/src/core/directory/peer_feed.h
+++ b/src/core/directory/peer_feed.h
@@ -21,11 +21,21 @@
     /// the three seconds after which a change is in force.
     Duration wait = 1600ms;
     Duration timeout = 400ms; ///< On top of the wait; peers answer within milliseconds.
-    /// The same while this daemon has no copy at all: the machine that is asked may be dark after
-    /// the fault that ended this daemon too, and callers wait.
+    /// The same for a look, while this daemon has no copy at all: the machine that is asked may be
+    /// dark after the fault that ended this daemon too, and callers wait.
     Duration firstTimeout = 100ms;
+    /// For a whole copy, from a peer that has just answered a look: 1.1 MB at 4,400 targets, over a
+    /// link of 2 Mbit/s.
+    Duration copyTimeout = 6s;
     Duration retry = 100ms; ///< Between sources that don't answer.
-    Duration forget = 1s;   ///< Until a source that failed is tried again.
+    /// The same while this daemon has no copy and the store has not failed: hundreds may have
+    /// started at once, none has a copy, and the store is about to give it.
+    Duration firstRetry = 1s;
+    /// Most objects that are taken from a peer while the store has not failed: as many as the store
+    /// gives in one page. More would pass a thin link beside the store's own list, and both be
+    /// late.
+    std::size_t smallCopy = 500;
+    Duration forget = 1s; ///< Until a source that failed is tried again.
     /// Between two looks at a root whose copy was out of date, by those who wait at another one.
     Duration staleRetry = 2s;
     /// A source whose origin's pulse has stood for so long is linked to nobody. The pulse comes
@@ -88,6 +98,9 @@
 
     /// \brief Starts, or asks anew. \param sources Daemons that watch the store; not this one.
     void start(const std::vector<Endpoint> &sources);
+    /// \brief The store gives no copy, or does again: who has none takes even a large one from a
+    /// peer.
+    void setStoreAway(bool away) noexcept { m_storeAway = away; }
     /// \brief Tells the source at once how young this daemon's own copy has become.
     void tellSource();
     /// \brief Takes a daemon for a source whose copy is younger, and asks it at once.
@@ -116,8 +129,9 @@
     [[nodiscard]] Duration longestWait() const;
     [[nodiscard]] Source *find(const Endpoint &address);
     void ask();
-    void askAt(const Source &source, bool look = false);
-    void onReply(const Endpoint &source, PeerReply reply);
+    enum class Question { Usual, Look, WholeCopy };
+    void askAt(const Source &source, Question kind = Question::Usual);
+    void onReply(const Endpoint &source, Question kind, PeerReply reply);
     /// \return Whether the answer is fresh; one that is stale is taken too, where it is newer.
     [[nodiscard]] bool take(PeerAnswer &answer);
     void redirect(Source &from, const std::vector<Endpoint> &to);
@@ -128,6 +142,10 @@
     void staleRoot(Source &root, bool seated);
     [[nodiscard]] bool isLinked() const;
     void hear(const Lineage &lineage);
+    /// \brief Takes the whole copy of a source that has answered a look, or leaves that to the
+    /// store.
+    void looked(const Source &source, const PeerAnswer &answer);
+    [[nodiscard]] Duration pause() const;
     void setState(PeerState state);
     void later(Duration wait);
 
@@ -146,6 +164,7 @@
     std::optional<TimePoint> m_heardAt;         ///< When one of them grew last.
     TimePoint m_startedAt{};
     PeerState m_state = PeerState::Fresh;
+    bool m_storeAway = false;
     std::optional<TimePoint>
         m_staleSince; ///< First answer with an old copy since the last fresh one.
     std::shared_ptr<std::uint64_t> m_run = std::make_shared<std::uint64_t>(0);
--- a/src/core/directory/peer_view.h
+++ b/src/core/directory/peer_view.h
@@ -61,6 +61,7 @@
     /// the copy is out of date everybody is answered, and only these look at the store for
     /// themselves.
     bool seated = true;
+    std::uint32_t objects = 0; ///< Of the whole copy; told to one that looks and has nothing.
     /// Daemons that have a copy from this one, which answers enough already; the rest is empty.
     std::vector<Endpoint> redirect;
 };
--- a/src/core/directory/store_feed.cpp
+++ b/src/core/directory/store_feed.cpp
@@ -25,6 +25,7 @@
     , m_changed(std::move(changed))
     , m_contact(std::move(contact))
     , m_backoff(settings.firstRetry, settings.mostRetry)
+    , m_pageBackoff(settings.firstRetry, settings.mostRetry)
 {
 }
 
@@ -77,10 +78,13 @@
 {
     auto *page = std::get_if<ObjectList>(&result);
     if (!page) {
-        m_pages.clear();
-        failed(result, &StoreFeed::list);
+        // The pages that came are kept: over a link that is full, one of many is late each time,
+        // and a list that began anew never ended.
+        failed(result, m_pages.empty() ? m_backoff : m_pageBackoff, &StoreFeed::list);
         return;
     }
+    m_pageCame = true;
+    m_pageBackoff.reset();
     // Changes made while the pages are read come with the watch: it begins at the first page.
     if (m_pages.empty())
         m_pagesVersion = page->latest;
@@ -118,12 +122,13 @@
 {
     if (std::holds_alternative<HistoryGone>(result)) {
         m_contact({{}, true});
+        m_pages.clear();
         list();
         return;
     }
     auto *list = std::get_if<ObjectList>(&result);
     if (!list) {
-        failed(result, &StoreFeed::watch);
+        failed(result, m_backoff, &StoreFeed::watch);
         return;
     }
     succeeded();
@@ -141,13 +146,15 @@
         watch();
 }
 
-void StoreFeed::failed(const PlatformResult &result, void (StoreFeed::*again)())
+void StoreFeed::failed(const PlatformResult &result, Backoff &backoff, void (StoreFeed::*again)())
 {
     m_away = true;
     const auto *failure = std::get_if<PlatformFailure>(&result);
-    m_contact({failure ? failure->what : "the store's answer does not fit the call"});
+    const bool listing = std::exchange(m_pageCame, false);
+    m_contact(
+        {failure ? failure->what : "the store's answer does not fit the call", false, listing});
     const Duration atLeast = failure ? failure->retryAfter : Duration{0};
-    later(m_backoff.next(m_random, std::min(atLeast, m_settings.mostRetry)), again);
+    later(backoff.next(m_random, std::min(atLeast, m_settings.mostRetry)), again);
 }
 
 void StoreFeed::succeeded()
--- a/src/core/directory/store_feed.h
+++ b/src/core/directory/store_feed.h
@@ -49,6 +49,7 @@
 {
     std::string failure;      ///< Empty for a success.
     bool historyGone = false; ///< The store no longer has the changes that a watch waited for.
+    bool listing = false;     ///< A failure between pages of a list, of which one came just before.
 };
 
 /// \brief Keeps a copy of a collection up to date from the store: lists it once, then watches.
@@ -80,7 +81,7 @@
     void takeList(TimePoint asked);
     void watch();
     void onWatch(TimePoint asked, PlatformResult result);
-    void failed(const PlatformResult &result, void (StoreFeed::*again)());
+    void failed(const PlatformResult &result, Backoff &backoff, void (StoreFeed::*again)());
     void succeeded();
     void later(Duration wait, void (StoreFeed::*step)());
     void call(const PlatformRequest &request, void (StoreFeed::*done)(TimePoint, PlatformResult));
@@ -94,10 +95,12 @@
     Changed m_changed;
     Contact m_contact;
     Backoff m_backoff;
+    Backoff m_pageBackoff; ///< Between tries of one page, where those before it came.
 
     std::vector<StoredObject> m_pages;    ///< Of the list that is under way.
     ObjectVersion m_pagesVersion;         ///< Of its first page.
     std::optional<TimePoint> m_backSince; ///< First success after the last failure.
+    bool m_pageCame = false;              ///< Since the last failure.
     bool m_away = false;
     bool m_running = false;
     std::shared_ptr<std::uint64_t> m_run = std::make_shared<std::uint64_t>(0);
--- a/src/core/directory/view_relay.cpp
+++ b/src/core/directory/view_relay.cpp
@@ -136,6 +136,7 @@
     }
     if (!ranked.empty())
         ++ranked.front().second->sent;
+    std::reverse(named.begin(), named.end()); // The asking daemon prefers what it heard of last.
     return named;
 }
 
@@ -145,7 +146,13 @@
         return std::nullopt;
     PeerAnswer answer;
     answer.domain = m_domain;
-    answer.delta = copy.since(question.after);
+    // One that has nothing looks first for somebody who answers, before it asks for a whole copy.
+    if (question.look && question.after.isNull()) {
+        answer.delta.change.version = copy.version();
+        answer.objects = static_cast<std::uint32_t>(copy.size());
+    } else {
+        answer.delta = copy.since(question.after);
+    }
     answer.age = ageOf(copy);
     answer.lineage = m_ports.lineage(question.prefix);
     const auto followers = m_followers.find(question.prefix);
--- a/src/daemon/settings/settings_reader.cpp
+++ b/src/daemon/settings/settings_reader.cpp
@@ -193,6 +193,7 @@
     reader.duration("wait", out.peers.wait, 10ms, 30s);
     reader.duration("timeout", out.peers.timeout, 10ms, 30s);
     reader.duration("firstTimeout", out.peers.firstTimeout, 1ms, 30s);
+    reader.duration("copyTimeout", out.peers.copyTimeout, 10ms, 10min);
     reader.duration("retry", out.peers.retry, 1ms, 30s);
     reader.duration("forget", out.peers.forget, 1ms, 10min);
     reader.duration("staleAfter", out.peers.staleAfter, 10ms, 10min);
--- a/src/wire/view_form.cpp
+++ b/src/wire/view_form.cpp
@@ -101,6 +101,8 @@
     }
     if (!answer.seated)
         out["seated"] = false;
+    if (answer.objects > 0)
+        out["objects"] = answer.objects;
     if (!answer.lineage.path.empty())
         out["path"] = listOf(answer.lineage.path);
     if (!answer.lineage.origin.isNull()) {
@@ -156,6 +158,8 @@
             return answer;
         }
         answer.seated = flagOf(root, "seated", true);
+        if (const json::value *objects = root.if_contains("objects"))
+            answer.objects = objects->to_number<std::uint32_t>();
         if (const json::value *path = root.if_contains("path"))
             answer.lineage.path = endpointsOf(*path);
         if (const json::value *origin = root.if_contains("origin")) {
--- a/standins/direct/world.h
+++ b/standins/direct/world.h
@@ -264,7 +264,7 @@
     /// \return The path of the daemon's settings file, written anew.
     std::string writeSettings(std::size_t index) const
     {
-        const std::string path = m_directory.file("daemon" + std::to_string(index) + ".json");
+        std::string path = m_directory.file("daemon" + std::to_string(index) + ".json");
         const std::string next = path + ".next";
         std::ofstream{next} << settingsOf(index);
         std::filesystem::rename(next, path); // Nobody reads half of it.
--- a/tests/directory/cluster_test.cpp
+++ b/tests/directory/cluster_test.cpp
@@ -141,6 +141,45 @@
     cr_assert(cluster.time.runUntil([&] { return allReady(cluster); }, 1500ms));
 }
 
+// Sixty daemons with thin links are killed at once: a whole copy takes three seconds to pass one of
+// them. When each asks its peers for one too, and gives up after a tenth of a second, what nobody
+// waits for any more fills the links, and callers wait for half a minute. The store is well and has
+// a wide link.
+Test(directory, allDaemonsKilledWithThinLinksServeSoon)
+{
+    constexpr std::uint64_t targets = 3000;
+    DirectCluster cluster{60, 3, 18};
+    for (std::uint64_t target = 1; target <= targets; ++target)
+        add(cluster, target);
+    cluster.time.run(10s);
+    cr_assert(allReady(cluster));
+    cluster.linkBytesPerSecond = targets * 70 / 3;
+    for (std::size_t index = 0; index < cluster.size(); ++index)
+        cluster.kill(index);
+    for (std::size_t index = 0; index < cluster.size(); ++index)
+        cluster.start(index);
+    cr_assert(cluster.time.runUntil([&] { return allReady(cluster); }, 5s));
+    cluster.time.run(5s);
+    for (std::size_t index = 0; index < cluster.size(); ++index)
+        cr_assert(cluster.node(index)->fresh());
+}
+
+// The same, and the store is away: a daemon that starts alone has only its peers. It gets the whole
+// copy from one of them, though that takes thirty times as long as a peer takes to answer.
+Test(directory, aWholeCopyComesFromAPeerOverAThinLink)
+{
+    constexpr std::uint64_t targets = 3000;
+    DirectCluster cluster{8, 3, 19};
+    for (std::uint64_t target = 1; target <= targets; ++target)
+        add(cluster, target);
+    cluster.time.run(10s);
+    cluster.linkBytesPerSecond = targets * 70 / 3;
+    cluster.store.down = true;
+    cluster.kill(6);
+    cluster.start(6);
+    cr_assert(cluster.time.runUntil([&] { return cluster.node(6)->ready(); }, 4500ms));
+}
+
 // The store is away from all for ten seconds. The followers hear from the roots that their copies
 // grow old; if all of them asked the store then, hundreds would, again and again.
 Test(directory, anOutageDoesNotSendEverybodyToTheStore)
--- a/tests/support/direct_cluster.h
+++ b/tests/support/direct_cluster.h
@@ -45,6 +45,7 @@
         Daemon &daemon = *m_daemons[index];
         daemon.life = std::make_shared<bool>(true);
         daemon.frozen = false;
+        daemon.linkFreeAt = {};
         const std::string domain = "d" + std::to_string(index % 3);
         daemon.node = std::make_unique<DirectNode>(PeerIdentity{addressOf(index), domain},
                                                    DirectNodeSettings{}, ports(index), ++m_seed);
@@ -103,8 +104,10 @@
 
     VirtualTime time;
     FakeDirectoryStore store;
-    std::uint64_t asks = 0;             ///< Questions between daemons so far.
-    bool countBytes = false;            ///< Whether sentBy() is kept; it costs time.
+    std::uint64_t asks = 0;  ///< Questions between daemons so far.
+    bool countBytes = false; ///< Whether sentBy() is kept; it costs time.
+    /// Of each daemon's own link, either way together; 0 for links without a bound.
+    std::uint64_t linkBytesPerSecond = 0;
     std::set<std::size_t> cutFromPeers; ///< Daemons whose messages to and from others get lost.
 
 private:
@@ -116,6 +119,7 @@
         std::uint64_t asked = 0;    ///< Questions of other daemons.
         std::uint64_t bytes = 0;    ///< Sent to others.
         std::uint64_t messages = 0; ///< The same.
+        TimePoint linkFreeAt{};     ///< What has been asked for until now has passed by then.
         std::vector<std::function<void()>> missed;
     };
 
@@ -150,8 +154,14 @@
             store.call(static_cast<int>(index), request,
                        [this, index, done, life = std::weak_ptr{m_daemons[index]->life}](
                            const PlatformResult &result) {
-                           if (!life.expired())
-                               at(index, [done, result] { done(result); })();
+                           if (life.expired())
+                               return;
+                           const Duration passing = occupy(index, sizeOf(result));
+                           const bool late = passing > FakeDirectoryStore::CallTimeout;
+                           const PlatformResult seen
+                               = late ? PlatformFailure{"no answer"} : PlatformResult{result};
+                           time.after(std::min(passing, FakeDirectoryStore::CallTimeout),
+                                      at(index, [done, seen] { done(seen); }));
                        });
         };
         ports.peers.now = ports.feed.now;
@@ -193,13 +203,45 @@
                     question, [this, from, to, once](const PeerReply &reply) {
                         if (countBytes && reply)
                             countSent(to, wire::toJson(*reply));
-                        if (!cutFromPeers.contains(from) && !cutFromPeers.contains(to))
-                            time.after(Hop, [once, reply] { once(reply); });
+                        if (cutFromPeers.contains(from) || cutFromPeers.contains(to))
+                            return;
+                        const Duration passing
+                            = std::max(occupy(to, sizeOf(reply)), occupy(from, sizeOf(reply)));
+                        time.after(Hop + passing, [once, reply] { once(reply); });
                     });
             })();
         });
     }
 
+    [[nodiscard]] static std::uint64_t sizeOf(const std::vector<StoredObject> &objects)
+    {
+        constexpr std::uint64_t heads = 50; // Names of fields, the version, punctuation.
+        std::uint64_t size = 0;
+        for (const StoredObject &object : objects)
+            size += object.key.size() + object.value.size() + heads;
+        return size;
+    }
+    [[nodiscard]] static std::uint64_t sizeOf(const PlatformResult &result)
+    {
+        const auto *list = std::get_if<ObjectList>(&result);
+        return list ? sizeOf(list->objects) : 0;
+    }
+    [[nodiscard]] static std::uint64_t sizeOf(const PeerReply &reply)
+    {
+        return reply ? sizeOf(reply->delta.change.written) : 0;
+    }
+
+    /// \brief Sends so many bytes through a daemon's link. \return When the last one has passed.
+    /// What nobody waits for any more passes all the same.
+    Duration occupy(std::size_t index, std::uint64_t bytes)
+    {
+        if (linkBytesPerSecond == 0 || bytes == 0)
+            return Duration{0};
+        TimePoint &free = m_daemons[index]->linkFreeAt;
+        free = std::max(free, time.now()) + Duration{1s} * bytes / linkBytesPerSecond;
+        return free - time.now();
+    }
+
     void countSent(std::size_t index, const std::string &body)
     {
         m_daemons[index]->bytes += body.size();
--- a/tests/support/fake_directory_store.h
+++ b/tests/support/fake_directory_store.h
@@ -112,8 +112,12 @@
             ObjectList out;
             out.latest = ObjectVersion{m_revision};
             for (const auto &[key, object] : m_objects) {
-                if (key.starts_with(list->prefix) && key > list->after)
-                    out.objects.push_back(object);
+                if (!key.starts_with(list->prefix) || key <= list->after)
+                    continue;
+                out.more = out.objects.size() == list->limit;
+                if (out.more)
+                    break;
+                out.objects.push_back(object);
             }
             answer(caller, done, out);
             return;
