Take no version from an answer that brings nothing; ask peers at once when the store fails

Where the list came first and the peer was ahead, the look's answer, which names a version and brings no objects, moved the copy to that version without its changes: a target drained in between would have gone on. A first look is a question of its own kind now and only tells who answers.

Also: while a daemon paused for the store's list, the store's failure did not end the pause (up to 1 s); aLargeCopyIsLeftToTheStoreUntilThatFails failed before.

--- a/src/core/directory/peer_feed.cpp
+++ b/src/core/directory/peer_feed.cpp
@@ -62,8 +62,19 @@
     ask();
 }
 
+void PeerFeed::setStoreAway(bool away)
+{
+    const bool lost = away && !m_storeAway;
+    m_storeAway = away;
+    if (!lost || m_copy.complete() || !m_pausing)
+        return;
+    ++*m_run; // The pause was for the store.
+    ask();
+}
+
 void PeerFeed::later(Duration wait)
 {
+    m_pausing = true;
     m_ports.after(wait, [this, run = std::weak_ptr{m_run}, mine = *m_run] {
         const auto current = run.lock();
         if (current && *current == mine)
@@ -126,7 +137,7 @@
 {
     const Source *source = choose();
     if (source) {
-        askAt(*source, m_copy.complete() ? Question::Usual : Question::Look);
+        askAt(*source, m_copy.complete() ? Question::Usual : Question::FirstLook);
         return;
     }
     judge();
@@ -155,8 +166,10 @@
 
 void PeerFeed::askAt(const Source &source, Question kind)
 {
+    m_pausing = false;
+    const bool first = kind == Question::FirstLook;
     PeerQuestion question;
-    question.look = kind == Question::Look;
+    question.look = first || kind == Question::Look;
     question.prefix = m_prefix;
     question.after = m_copy.version();
     question.asker = m_identity.address;
@@ -170,7 +183,7 @@
         question.wait = longestWait();
     Duration timeout = question.wait + m_settings.timeout;
     if (!m_copy.complete())
-        timeout = kind == Question::Look ? m_settings.firstTimeout : m_settings.copyTimeout;
+        timeout = first ? m_settings.firstTimeout : m_settings.copyTimeout;
     m_ports.ask(source.address, question, timeout,
                 [this, address = source.address, kind, run = std::weak_ptr{m_run},
                  mine = *m_run](PeerReply reply) {
@@ -237,8 +250,14 @@
         return;
     }
     hear(reply->lineage);
-    if (kind == Question::Look && !m_copy.complete()) {
-        looked(*source, *reply);
+    if (kind == Question::FirstLook) {
+        // The answer names a version and brings nothing. Where the store was faster meanwhile, to
+        // take it would put the copy at a version whose changes it lacks: a drained target would go
+        // on.
+        if (m_copy.complete())
+            ask();
+        else
+            looked(*source, *reply);
         return;
     }
     if (!take(*reply)) {
--- a/src/core/directory/peer_feed.h
+++ b/src/core/directory/peer_feed.h
@@ -100,7 +100,7 @@
     void start(const std::vector<Endpoint> &sources);
     /// \brief The store gives no copy, or does again: who has none takes even a large one from a
     /// peer.
-    void setStoreAway(bool away) noexcept { m_storeAway = away; }
+    void setStoreAway(bool away);
     /// \brief Tells the source at once how young this daemon's own copy has become.
     void tellSource();
     /// \brief Takes a daemon for a source whose copy is younger, and asks it at once.
@@ -129,7 +129,12 @@
     [[nodiscard]] Duration longestWait() const;
     [[nodiscard]] Source *find(const Endpoint &address);
     void ask();
-    enum class Question { Usual, Look, WholeCopy };
+    enum class Question {
+        Usual,
+        Look,      ///< Is the copy there out of date too?
+        FirstLook, ///< This daemon has no copy: does anybody answer, and how large is it?
+        WholeCopy,
+    };
     void askAt(const Source &source, Question kind = Question::Usual);
     void onReply(const Endpoint &source, Question kind, PeerReply reply);
     /// \return Whether the answer is fresh; one that is stale is taken too, where it is newer.
@@ -165,6 +170,7 @@
     TimePoint m_startedAt{};
     PeerState m_state = PeerState::Fresh;
     bool m_storeAway = false;
+    bool m_pausing = false; ///< No question is under way.
     std::optional<TimePoint>
         m_staleSince; ///< First answer with an old copy since the last fresh one.
     std::shared_ptr<std::uint64_t> m_run = std::make_shared<std::uint64_t>(0);
