Take a daemon that can't reach the root of its own failure domain

Cause, found on reading: a root sent each daemon of another domain to the root of that domain, each time, also where the way between those two was cut or that root was silent. Such a daemon had nobody but the store; refused there, it would have gone on with an old view.

Now it is taken after the time of a question in vain.

--- a/src/core/directory/view_relay.cpp
+++ b/src/core/directory/view_relay.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// Within this time a daemon that was sent to a root has not tried it in vain: a question that gets
+/// no answer takes 400 ms.
+constexpr Duration TryTime = 300ms;
 /// Daemons that are named to one that is sent on.
 constexpr std::size_t MostNamed = 3;
 
@@ -62,8 +65,6 @@
                   });
 }
 
-// Trees that stay within a failure domain outlive its being cut off, and don't cross the dear
-// links.
 std::optional<Endpoint> ViewRelay::rootIn(const std::string &prefix,
                                           const std::string &domain) const
 {
@@ -71,18 +72,35 @@
     if (followers == m_followers.end())
         return std::nullopt;
     for (const auto &[address, follower] : followers->second) {
-        if (follower.domain == domain && m_ports.isRoot(address))
+        const bool here = m_ports.now() - follower.seenAt <= m_settings.followerTimeout;
+        if (here && follower.domain == domain && m_ports.isRoot(address))
             return address;
     }
     return std::nullopt;
 }
 
+// Trees that stay within a failure domain outlive its being cut off, and don't cross the dear
+// links. One that comes back after a try can't reach the root of its own domain, and is taken here.
+std::optional<Endpoint> ViewRelay::nearerRoot(const PeerQuestion &question)
+{
+    const TimePoint now = m_ports.now();
+    std::erase_if(m_sentHome,
+                  [&](const auto &item) { return now - item.second > m_settings.followerTimeout; });
+    if (question.domain == m_domain || m_ports.isRoot(question.asker))
+        return std::nullopt;
+    if (m_followers[question.prefix].contains(question.asker))
+        return std::nullopt;
+    const auto root = rootIn(question.prefix, question.domain);
+    if (!root)
+        return std::nullopt;
+    const auto sent = m_sentHome.emplace(question.asker, now).first;
+    return now - sent->second < TryTime ? root : std::nullopt;
+}
+
 std::vector<Endpoint> ViewRelay::redirect(const PeerQuestion &question)
 {
-    const bool far = question.domain != m_domain && !m_ports.isRoot(question.asker);
-    const auto nearRoot = far ? rootIn(question.prefix, question.domain) : std::nullopt;
-    if (nearRoot && !m_followers[question.prefix].contains(question.asker))
-        return {*nearRoot};
+    if (const auto root = nearerRoot(question))
+        return {*root};
     return admit(question) ? std::vector<Endpoint>{} : others(question.prefix, question.domain);
 }
 
@@ -93,8 +111,7 @@
     std::erase_if(followers, [&](const auto &item) {
         return now - item.second.seenAt > m_settings.followerTimeout;
     });
-    // Roots ask each other seldom once each has the store, and must not take their followers'
-    // places.
+    // Other roots are always answered, and must not take the places of followers.
     const auto taken = std::count_if(followers.begin(), followers.end(), [this](const auto &item) {
         return !m_ports.isRoot(item.first);
     });
--- a/src/core/directory/view_relay.h
+++ b/src/core/directory/view_relay.h
@@ -74,6 +74,7 @@
     [[nodiscard]] bool admit(const PeerQuestion &question);
     [[nodiscard]] std::optional<Endpoint> rootIn(const std::string &prefix,
                                                  const std::string &domain) const;
+    [[nodiscard]] std::optional<Endpoint> nearerRoot(const PeerQuestion &question);
     /// \return Whom the asking daemon should ask instead; empty for nobody.
     [[nodiscard]] std::vector<Endpoint> redirect(const PeerQuestion &question);
     [[nodiscard]] std::vector<Endpoint> others(const std::string &prefix,
@@ -85,6 +86,7 @@
     Ports m_ports;
     std::map<std::string, const CollectionCopy *> m_copies;
     std::map<std::string, Followers> m_followers; ///< By collection.
+    std::map<Endpoint, TimePoint> m_sentHome;     ///< To the roots of their own domains, lately.
     std::list<Waiting> m_waiting;
     std::uint64_t m_lastId = 0;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
