Look at all daemons' pages, since any one may have got no flow

Which daemon a flow goes to is a hash of the run's free ports; with twelve flows and four daemons one of them gets none in about 3 of 100 runs ((3/4)^12).

What the line in KNOWN-RED.txt was written for (too few answers in half a second, once) is another failure, not seen again and not traced; the line stays.

--- a/tests/direct-system-known/serves_test.cpp
+++ b/tests/direct-system-known/serves_test.cpp
@@ -10,9 +10,16 @@
     DirectSystem system;
     cr_assert_eq(system.askAll(), 2 * Callers);
     system.expectSound();
-    const std::string page = system.world.metricsOf(0);
+    // Which daemon a flow goes to is a hash of free ports: any single one may have got none.
+    std::string pages;
+    for (std::size_t index = 0; index < Daemons; ++index) {
+        const std::string page = system.world.metricsOf(index);
+        for (const char *name : {"baobabtrail_ready 1", "baobabtrail_store_calls_total"})
+            cr_assert_neq(page.find(name), std::string::npos, "%s of daemon %zu", name, index);
+        pages += page;
+    }
     for (const char *name :
-         {"baobabtrail_ready 1", "baobabtrail_segments_total{service=\"lending\"",
-          "baobabtrail_flow_seconds_bucket", "baobabtrail_store_calls_total"})
-        cr_assert_neq(page.find(name), std::string::npos, "%s", name);
+         {"baobabtrail_segments_total{service=\"lending\"",
+          "baobabtrail_segments_total{service=\"catalogue\"", "baobabtrail_flow_seconds_bucket"})
+        cr_assert_neq(pages.find(name), std::string::npos, "%s", name);
 }
--- a/tests/direct-system/direct_system_test.cpp
+++ b/tests/direct-system/direct_system_test.cpp
@@ -103,12 +103,20 @@
 {
     DirectSystem system;
     cr_assert_eq(system.askAll(), 2 * Callers);
-    ctl::AdminClient client({system.world.administrationOf(0)}, "", 2s);
-    const auto screen = ctl::topScreen([&](const ctl::Call &call) { return client.execute(call); });
-    cr_assert(screen.has_value());
-    for (const char *shown : {"ready 1", "view_age_seconds", "segments_total{service=\"lending\"",
-                              "targets:", "catalogue", "trusted"})
-        cr_assert_neq(screen->find(shown), std::string::npos, "%s in\n%s", shown, screen->c_str());
+    std::string screens;
+    for (std::size_t index = 0; index < Daemons; ++index) {
+        ctl::AdminClient client({system.world.administrationOf(index)}, "", 2s);
+        const auto screen
+            = ctl::topScreen([&](const ctl::Call &call) { return client.execute(call); });
+        cr_assert(screen.has_value());
+        for (const char *shown :
+             {"ready 1", "view_age_seconds", "targets:", "catalogue", "trusted"})
+            cr_assert_neq(screen->find(shown), std::string::npos, "%s in\n%s", shown,
+                          screen->c_str());
+        screens += *screen;
+    }
+    // Which daemon a flow goes to is a hash of free ports: any single one may have got none.
+    cr_assert_neq(screens.find("segments_total{service=\"lending\""), std::string::npos);
 }
 
 // Nobody reads what the daemons print any more: the pipe is full after 64 KB, some 190 placements.
