--- a/src/core/direct/direct_node.h
+++ b/src/core/direct/direct_node.h
@@ -150,6 +150,8 @@
     [[nodiscard]] const DirectRouter &router() const noexcept { return m_router; }
     /// \return Segments that wait for the directory.
     [[nodiscard]] std::size_t waiting() const noexcept { return m_waiting.size(); }
+    /// \return Bytes of requests that wait for their targets.
+    [[nodiscard]] std::size_t heldBytes() const noexcept { return m_held.bytes(); }
     [[nodiscard]] const ViewRelay &relay() const noexcept { return m_relay; }
     [[nodiscard]] ObjectVersion version() const noexcept;
 
--- a/src/core/direct/direct_router.cpp
+++ b/src/core/direct/direct_router.cpp
@@ -456,11 +456,25 @@
     const Duration took = now - flow.lastByteAt;
     const Duration usual{static_cast<Duration::rep>(target.answerMicros)};
     m_targets.answered(target, took, now);
-    m_gate.answered(target.entry.id, took, promiseOf(segment.flow).latency, now);
+    learnLoad(flow, target, took, segment, now);
     measured(FlowTime::Answer, took, usual, segment, flow, target);
     endRequest(flow, target);
 }
 
+void DirectRouter::learnLoad(const Flow &flow, const DirectTarget &target, Duration took,
+                             const Segment &segment, TimePoint now)
+{
+    const TargetWindow *window = m_gate.window(target.entry.id);
+    if (!window)
+        return;
+    const bool before = window->limited();
+    m_gate.answered(target.entry.id, took, promiseOf(segment.flow).latency, now);
+    if (window->limited() == before || !m_observer.saturated)
+        return;
+    m_observer.saturated(
+        {target, window->limited(), window->size(), window->usualAnswer(), flow.service});
+}
+
 void DirectRouter::measured(FlowTime time, Duration took, Duration usual, const Segment &segment,
                             const Flow &flow, const DirectTarget &target) const
 {
--- a/src/core/direct/direct_router.h
+++ b/src/core/direct/direct_router.h
@@ -98,11 +98,22 @@
     ServiceId service;
 };
 
+/// \brief A target counts as saturated from now on, or no longer.
+struct SaturationChange
+{
+    const DirectTarget &target;
+    bool saturated = false;
+    double window = 0;       ///< Requests of this daemon that it may have at once.
+    Duration usualAnswer{0}; ///< Moving mean that decided.
+    ServiceId service;
+};
+
 /// \brief Told of what the router decides; every function may be empty.
 struct DirectObserver
 {
     std::function<void(const SegmentDecision &)> decided;
     std::function<void(const BeliefChange &)> believed;
+    std::function<void(const SaturationChange &)> saturated;
     std::function<void(const FlowMeasured &)> measured;
 };
 
@@ -197,6 +208,8 @@
     void sent(Flow &flow, DirectTarget &target, const Segment &segment, TimePoint now);
     void opened(Flow &flow, DirectTarget &target, const Segment &segment, TimePoint now);
     void answered(Flow &flow, DirectTarget &target, const Segment &segment, TimePoint now);
+    void learnLoad(const Flow &flow, const DirectTarget &target, Duration took,
+                   const Segment &segment, TimePoint now);
     void measured(FlowTime time, Duration took, Duration usual, const Segment &segment,
                   const Flow &flow, const DirectTarget &target) const;
     void heard(Flow &flow, DirectTarget &target, TimePoint now);
--- a/src/core/direct/mechanisms.h
+++ b/src/core/direct/mechanisms.h
@@ -4,6 +4,7 @@
 #include <bitset>
 #include <cstddef>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace baobabtrail {
@@ -59,4 +60,16 @@
     std::bitset<static_cast<std::size_t>(Mechanism::Count)> m_without;
 };
 
+/// \return The names of those that are left out, with blanks between.
+[[nodiscard]] inline std::string toString(const Mechanisms &mechanisms)
+{
+    std::string out;
+    for (std::size_t index = 0; index < MechanismNames.size(); ++index) {
+        if (mechanisms.has(static_cast<Mechanism>(index)))
+            continue;
+        out += (out.empty() ? "" : " ") + std::string{MechanismNames[index]};
+    }
+    return out;
+}
+
 } // namespace baobabtrail
--- a/src/ctl/explain_flow.cpp
+++ b/src/ctl/explain_flow.cpp
@@ -137,8 +137,12 @@
     Cause{"no_target", "the service had no target that took flows"},
     Cause{"stale_view", "the daemon's view was out of date, so it said nothing"},
     Cause{"unknown_label", "the daemon did not know the flow's target"},
+    Cause{"given_up", "its target was saturated; the request waited until no answer could have "
+                      "reached the caller in time, and never ran"},
     Cause{"moved", "the first target gave no sign of life; another one was tried"},
     Cause{"repeated", "the caller sent again: its target acknowledged nothing for a while"},
+    Cause{"released", "its target was saturated; the request waited before it went on"},
+    Cause{"held", "its target was saturated; the request waited"},
     Cause{"slow_answer", "its target answered late"},
     Cause{"offered_again", "the opening was sent again: its answer was lost or late"},
     Cause{"placed", "nothing out of the ordinary was decided"}};
--- a/src/daemon/direct/direct_daemon.cpp
+++ b/src/daemon/direct/direct_daemon.cpp
@@ -64,7 +64,7 @@
 ExitStatus DirectDaemon::run()
 {
     m_log.started(m_settings.name, m_settings.domain, m_settings.addresses.packets,
-                  m_settings.store.platform);
+                  m_settings.store.platform, m_settings.node.flows.mechanisms);
     m_root.start([this](const std::string &why) {
         writeEvent(LogEvent{Severity::Error, Part::Daemon, "gives_up"}.field("why", why));
         finish(ExitStatus::Failed);
@@ -160,6 +160,8 @@
     };
     ports.observer.believed
         = [this](const BeliefChange &change) { m_log.write(change, *m_node, monotonicNow()); };
+    ports.observer.saturated
+        = [this](const SaturationChange &change) { m_log.write(change, *m_node, monotonicNow()); };
     ports.observer.measured = [this](const FlowMeasured &measured) {
         m_metrics.measured(measured, m_node->router().routes());
         m_log.write(measured, *m_node, monotonicNow());
--- a/src/daemon/direct/direct_log.cpp
+++ b/src/daemon/direct/direct_log.cpp
@@ -46,6 +46,15 @@
         event.field("heard_ms_ago", now - *target.heardAt);
 }
 
+/// \brief Adds what decided whether a request waits for the target.
+void addWindow(LogEvent &event, const DirectNode &node, const DirectTarget &target)
+{
+    const TargetWindow *window = node.router().gate().window(target.entry.id);
+    event.field("held", target.held);
+    if (window && window->limited())
+        event.field("window", window->size()).field("usual_ms", window->usualAnswer());
+}
+
 void addView(LogEvent &event, const DirectNode &node)
 {
     event.field("config", node.router().routes().version)
@@ -139,11 +148,14 @@
 }
 
 void DirectLog::started(const std::string &name, const std::string &domain, const Endpoint &packets,
-                        const Endpoint &store)
+                        const Endpoint &store, const Mechanisms &mechanisms)
 {
     LogEvent event{Severity::Info, Part::Daemon, "start"};
     event.field("name", name).field("domain", domain).field("packets", packets);
-    m_out(event.field("store", store));
+    event.field("store", store);
+    if (!mechanisms.complete())
+        event.field("without", toString(mechanisms));
+    m_out(event);
 }
 
 void DirectLog::ready(const DirectNode &node)
@@ -173,8 +185,10 @@
         const auto &names = node.router().routes().serviceNames;
         if (const auto name = names.find(decision.service); name != names.end())
             event.field("service", name->second);
-        if (decision.target)
+        if (decision.target) {
             addTarget(event, *decision.target, now);
+            addWindow(event, node, *decision.target);
+        }
         addView(event, node);
         return event;
     });
@@ -182,6 +196,18 @@
 
 void DirectLog::write(const FlowMeasured &measured, const DirectNode &node, TimePoint now)
 {
+    if (measured.time == FlowTime::Held) {
+        constexpr std::string_view released = "released";
+        admit(Part::Flows, released, now, [&] {
+            LogEvent event{Severity::Info, Part::Flows, released};
+            addFlow(event, measured.segment);
+            event.field("held_ms", measured.took);
+            addTarget(event, measured.target, now);
+            addWindow(event, node, measured.target);
+            return event;
+        });
+        return;
+    }
     if (measured.time != FlowTime::Answer || measured.took < LeastSlowAnswer
         || measured.took < SlowFactor * measured.usual)
         return;
@@ -209,6 +235,20 @@
     });
 }
 
+void DirectLog::write(const SaturationChange &change, const DirectNode &node, TimePoint now)
+{
+    const std::string_view kind = change.saturated ? "saturated" : "relieved";
+    admit(Part::Targets, kind, now, [&] {
+        LogEvent event{change.saturated ? Severity::Warning : Severity::Info, Part::Targets, kind};
+        addTarget(event, change.target, now);
+        event.field("held", change.target.held)
+            .field("window", change.window)
+            .field("usual_ms", change.usualAnswer);
+        addView(event, node);
+        return event;
+    });
+}
+
 void DirectLog::write(const NodeNotice &notice, TimePoint now)
 {
     constexpr std::array<std::string_view, std::variant_size_v<NodeNotice>> kinds{
--- a/src/daemon/direct/direct_log.h
+++ b/src/daemon/direct/direct_log.h
@@ -28,13 +28,15 @@
 
     /// \brief The process has started. \param store Address of the platform's store.
     void started(const std::string &name, const std::string &domain, const Endpoint &packets,
-                 const Endpoint &store);
+                 const Endpoint &store, const Mechanisms &mechanisms = {});
     /// \brief The directory is complete; traffic is taken from now on.
     void ready(const DirectNode &node);
     void write(const SegmentDecision &decision, const DirectNode &node, TimePoint now);
-    /// \brief Writes times that are unusual; all of them are in the histograms.
+    /// \brief Writes times that are unusual, and how long requests were held; all times are in the
+    /// histograms.
     void write(const FlowMeasured &measured, const DirectNode &node, TimePoint now);
     void write(const BeliefChange &change, const DirectNode &node, TimePoint now);
+    void write(const SaturationChange &change, const DirectNode &node, TimePoint now);
     void write(const NodeNotice &notice, TimePoint now);
 
     /// \brief Writes that a datagram is no packet of a caller. \param finding What, and where.
--- a/src/daemon/direct/direct_metrics.cpp
+++ b/src/daemon/direct/direct_metrics.cpp
@@ -6,6 +6,8 @@
 
 /// Services with entries of their own; each has two histograms of about 2 KB.
 constexpr std::size_t MostServices = 64;
+/// Saturated targets with a sample of their own, of about 60 bytes.
+constexpr std::size_t MostWindows = 256;
 constexpr std::string_view OtherService = "other";
 constexpr std::string_view NoService = "none";
 
@@ -80,10 +82,29 @@
     page.family("baobabtrail_targets", "gauge", "Targets, by what is believed of them.");
     for (std::size_t index = 0; index < beliefs.size(); ++index)
         page.sample({{"belief", TargetBeliefNames[index]}}, number(beliefs[index]));
+    writeOverload(page, node);
     writeOne(page, "baobabtrail_followers", "gauge", "Daemons that have their copies from here.",
              number(node.relay().followers()));
 }
 
+void DirectMetrics::writeOverload(Exposition &page, const DirectNode &node)
+{
+    const RequestGate &gate = node.router().gate();
+    writeOne(page, "baobabtrail_requests_held", "gauge",
+             "Requests that wait for saturated targets.", static_cast<double>(gate.held()));
+    writeOne(page, "baobabtrail_held_bytes", "gauge", "Bytes of these.",
+             static_cast<double>(node.heldBytes()));
+    page.family("baobabtrail_target_window", "gauge",
+                "Requests that a saturated target may have at once; no sample for others.");
+    std::size_t written = 0;
+    for (const auto &[id, target] : node.router().targets().all()) {
+        const TargetWindow *window = gate.window(id);
+        if (!window || !window->limited() || ++written > MostWindows)
+            continue;
+        page.sample({{"target", target.entry.name}}, window->size());
+    }
+}
+
 void DirectMetrics::writeEvents(Exposition &page, std::uint64_t logLinesLeftOut) const
 {
     page.family("baobabtrail_events_total", "counter", "Events of the daemon's parts.");
--- a/src/daemon/direct/direct_metrics.h
+++ b/src/daemon/direct/direct_metrics.h
@@ -62,6 +62,7 @@
 
     [[nodiscard]] Service &entryOf(ServiceId service, const RouteTable &routes);
     void writeNode(Exposition &page, const DirectNode &node) const;
+    static void writeOverload(Exposition &page, const DirectNode &node);
     void writeEvents(Exposition &page, std::uint64_t logLinesLeftOut) const;
     void writeServices(Exposition &page) const;
     void writeSocket(Exposition &page) const;
--- a/src/daemon/direct/direct_tables.cpp
+++ b/src/daemon/direct/direct_tables.cpp
@@ -42,14 +42,26 @@
 [[nodiscard]] bool leaves(TargetBelief belief) noexcept
 {
     return belief == TargetBelief::Draining || belief == TargetBelief::Lapsed
-           || belief == TargetBelief::Gone;
+           || belief == TargetBelief::Gone || belief == TargetBelief::Refused;
+}
+
+/// \return Requests that a saturated target may have at once.
+[[nodiscard]] std::string windowOf(const DirectNode &node, TargetId target)
+{
+    const TargetWindow *window = node.router().gate().window(target);
+    if (!window || !window->limited())
+        return NotKnown;
+    std::array<char, 32> text{};
+    (void)std::snprintf(text.data(), text.size(), "%.1f", window->size());
+    return text.data();
 }
 
 [[nodiscard]] Result targetsTable(const DirectBackend &backend, bool leavingOnly)
 {
     Result result;
-    result.columns = {"service", "target", "domain",     "state",     "slots",    "running",
-                      "opening", "flows",  "unanswered", "answer-ms", "heard-ms", "address"};
+    result.columns
+        = {"service", "target", "domain", "state",      "slots",     "running",  "opening",
+           "held",    "window", "flows",  "unanswered", "answer-ms", "heard-ms", "address"};
     const DirectNode &node = *backend.node;
     std::map<std::string, Row> sorted;
     for (const auto &[id, target] : node.router().targets().all()) {
@@ -66,6 +78,8 @@
                text(target.entry.slots),
                text(target.inFlight),
                text(target.opening),
+               text(target.held),
+               windowOf(node, id),
                text(target.openFlows),
                text(target.unanswered),
                target.answerMicros > 0 ? milliseconds(answer) : NotKnown,
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -33,6 +33,14 @@
     return ExitStatus::BadSettings;
 }
 
+/// \brief An experiment must not be left in force unnoticed.
+void reportExperiments(const DirectDaemonSettings &settings)
+{
+    const Mechanisms &mechanisms = settings.node.flows.mechanisms;
+    if (!mechanisms.complete())
+        std::cout << "settings: experiments.without: " << toString(mechanisms) << '\n';
+}
+
 /// \brief Runs the kind of daemon that the settings are of.
 struct Runner
 {
@@ -63,6 +71,8 @@
     AnySettings settings = file.read();
     if (FLAGS_check && !std::holds_alternative<Findings>(settings)) {
         std::cout << "settings: no findings\n";
+        if (const auto *direct = std::get_if<DirectDaemonSettings>(&settings))
+            reportExperiments(*direct);
         return ExitStatus::Done;
     }
     return std::visit(Runner{file}, settings);
--- a/tests/explain/walkthrough_test.cpp
+++ b/tests/explain/walkthrough_test.cpp
@@ -87,6 +87,39 @@
                    "usual_ms=35.0", "cause: its target answered late"});
 }
 
+// Answers take 150 ms where the route promises 200: the target counts as saturated. The next
+// request waits for the one before it; the story says for what, how long, and what decided.
+Test(explain, aRequestThatWaitedForASaturatedTarget)
+{
+    LoggedCluster system{3};
+    system.promise(200ms, 1200ms);
+    addTarget(system);
+    std::vector<FlowLabel> labels;
+    for (std::uint16_t caller = Complaining; caller < Complaining + 40; ++caller) {
+        labels.push_back(system.open(2, caller));
+        (void)system.send(2, DirectFleet::data(caller, labels.back(), 0, 0, 1));
+    }
+    system.cluster.time.run(100ms);
+    const auto ask = [&](std::uint16_t number) {
+        return system.send(2, DirectFleet::data(Complaining + number, labels[number], 0, 100, 1));
+    };
+    std::uint16_t number = 1;
+    while (system.text().find("\"event\":\"saturated\"") == std::string::npos && number < 38) {
+        (void)ask(number);
+        system.cluster.time.run(150ms);
+        (void)system.send(2, DirectFleet::data(Complaining + number, labels[number], 100, 0, 101));
+        ++number;
+    }
+    (void)ask(number);
+    (void)ask(0);
+    system.cluster.time.run(150ms);
+    (void)system.send(2, DirectFleet::data(Complaining + number, labels[number], 100, 0, 101));
+    expectInOrder(system.story(Complaining),
+                  {"targets: saturated", "window=", "usual_ms=", "flows: held", "held=1",
+                   "flows: released", "held_ms=150.0",
+                   "cause: its target was saturated; the request waited before it went on"});
+}
+
 // At overload a daemon writes a bounded number of lines of each kind. Nothing goes missing unsaid:
 // the next line of the kind tells how many were left out, and refusals are not among the
 // placements.
--- a/tests/support/logged_cluster.h
+++ b/tests/support/logged_cluster.h
@@ -21,6 +21,13 @@
     {
     }
 
+    /// \brief What routes promise that are read from now on.
+    void promise(Duration latency, Duration timeout)
+    {
+        m_promise.latency = latency;
+        m_promise.timeout = timeout;
+    }
+
     /// \brief Sends a segment through a daemon.
     std::optional<SegmentVerdict> send(std::size_t daemon, const Segment &segment)
     {
@@ -62,6 +69,17 @@
         ports.observer.believed = [this, index, now](const BeliefChange &change) {
             m_logs[index]->write(change, *cluster.node(index), now());
         };
+        ports.reader.routes = [this, read = ports.reader.routes](const StoredObject &object) {
+            auto result = read(object);
+            if (auto *table = std::get_if<RouteTable>(&result)) {
+                for (auto &[address, route] : table->routes)
+                    route.promise = m_promise;
+            }
+            return result;
+        };
+        ports.observer.saturated = [this, index, now](const SaturationChange &change) {
+            m_logs[index]->write(change, *cluster.node(index), now());
+        };
         ports.observer.measured = [this, index, now](const FlowMeasured &measured) {
             m_logs[index]->write(measured, *cluster.node(index), now());
         };
@@ -84,6 +102,7 @@
 
     std::uint32_t m_linesPerSecond;
     std::string m_text;
+    RequestPromise m_promise;
     std::map<std::size_t, std::unique_ptr<daemon::DirectLog>> m_logs;
 
 public:
