Count the wait before a repeated opening as the caller's

A first segment that comes for the second or third time belongs to a caller that has waited for 200 or 600 ms; its request is late by as much, and yields to newer ones.

--- a/src/core/direct/direct_router.cpp
+++ b/src/core/direct/direct_router.cpp
@@ -21,6 +21,16 @@
 /// A request without an answer stops counting as work after this long: its caller has given up.
 constexpr Duration LongestRequest = 10s;
 
+/// \return How long a caller has waited that sends its opening segment for the so-manieth time.
+[[nodiscard]] Duration waitedBefore(std::uint8_t copy) noexcept
+{
+    constexpr Duration first = 200ms;
+    constexpr Duration second = 600ms;
+    if (copy == 0)
+        return Duration{0};
+    return copy == 1 ? first : second;
+}
+
 } // namespace
 
 DirectRouter::DirectRouter(std::string domain, DirectSettings settings, Random &random,
@@ -178,6 +188,7 @@
         flow.incarnation = target.incarnation;
         flow.service = service;
         flow.end = segment.sequence + 1;
+        flow.waitedBefore = waitedBefore(segment.copy);
         flow.openedAt = now;
         flow.seenAt = now;
         ++target.opening;
@@ -339,7 +350,7 @@
     // A caller that opens a flow for a request has waited since the opening; one that opens it
     // ahead has not.
     const bool openedForIt = !flow.asked && now - flow.establishedAt <= RequestFollowsWithin;
-    const TimePoint begunAt = openedForIt ? flow.openedAt : now;
+    const TimePoint begunAt = openedForIt ? flow.openedAt - flow.waitedBefore : now;
     const HeldRequest request{segment.flow, promiseOf(segment.flow), begunAt, now};
     flow.held = m_gate.holds(target.entry.id, request);
     target.held += flow.held ? 1 : 0;
--- a/src/core/direct/direct_router.h
+++ b/src/core/direct/direct_router.h
@@ -175,7 +175,8 @@
         std::uint32_t end = 0;      ///< Behind the last byte that the caller has sent.
         std::uint32_t heldEnd = 0;  ///< The same, with what is held.
         std::uint32_t received = 0; ///< Bytes that the caller has acknowledged.
-        TimePoint openedAt{};       ///< First segment.
+        TimePoint openedAt{};       ///< First segment that was seen here.
+        Duration waitedBefore{0};   ///< By the caller, before that one.
         TimePoint establishedAt{};  ///< First segment that showed that its target had accepted.
         TimePoint lastByteAt{};     ///< Of the request that waits.
         TimePoint sentAt{};         ///< When the request that waits went to the target.
--- a/tests/settings/settings_reader_test.cpp
+++ b/tests/settings/settings_reader_test.cpp
@@ -204,3 +204,40 @@
     config.tenants["broken"] = TenantConfig{"broken", ""};
     cr_assert(!findCaller("", operators, config));
 }
+
+namespace {
+
+[[nodiscard]] std::string directText(const std::string &more)
+{
+    return R"({"forwarding": "direct", "name": "d1", "domain": "a",
+        "addresses": {"packets": "127.0.0.1:1", "readiness": "127.0.0.1:2"},
+        "store": {"address": "127.0.0.1:3"},)"
+           + more + "}";
+}
+
+} // namespace
+
+// An experiment leaves mechanisms out by their names; a name that is not known must not pass for
+// one that is left out, or its figure would be of the whole.
+Test(settings, experimentsNameWhatTheyLeaveOut)
+{
+    const auto read = readAnySettings(directText(
+        R"("overload": {"saturatedShare": 0.5, "mostWindow": 8},
+           "experiments": {"without": ["holdRequests", "suspicion"]})"));
+    const auto &settings = std::get<DirectDaemonSettings>(read);
+    const DirectSettings &flows = settings.node.flows;
+    cr_assert(!flows.overload.hold && flows.overload.newestFirst);
+    cr_assert(flows.overload.saturatedShare == 0.5 && flows.overload.mostWindow == 8.0);
+    cr_assert(!flows.mechanisms.has(Mechanism::Suspicion));
+    cr_assert_eq(toString(flows.mechanisms), "suspicion holdRequests");
+
+    const auto wrong = readAnySettings(directText(
+        R"("overload": {"shrink": "half", "leastWindow": 9, "mostWindow": 2, "lateRoom": 2},
+           "experiments": {"without": ["suspicion", "gravity"]})"));
+    std::vector<std::string> places;
+    for (const Finding &finding : std::get<Findings>(wrong))
+        places.push_back(finding.place);
+    const std::vector<std::string> expected{"overload.shrink", "overload.lateRoom",
+                                            "overload.mostWindow", "experiments.without[1]"};
+    cr_assert(places == expected, "%zu findings, first %s", places.size(), places.front().c_str());
+}
