--- a/src/core/direct/direct_router.cpp
+++ b/src/core/direct/direct_router.cpp
@@ -16,8 +16,6 @@
 /// newest bytes was overtaken on its way; taken for sent again, it made targets suspect that
 /// answered, and ended flows of targets that were leaving in good order.
 constexpr Duration ResentAfter = 150ms;
-/// The first request of a flow that was opened for it follows the end of the handshake at once.
-constexpr Duration RequestFollowsWithin = 20ms;
 /// A request without an answer stops counting as work after this long: its caller has given up.
 constexpr Duration LongestRequest = 10s;
 
@@ -107,16 +105,6 @@
     return verdict;
 }
 
-// A segment may bring the acknowledgement of an answer, or end a flow: there may be room now.
-void DirectRouter::serveHeldAt(const Segment &segment, TimePoint now)
-{
-    const auto known = m_flows.find(segment.flow);
-    if (known == m_flows.end())
-        return;
-    if (DirectTarget *target = targetOf(known->second))
-        serveHeld(*target, now);
-}
-
 ServiceId DirectRouter::serviceOf(const Route &route, const FlowKey &flow) const noexcept
 {
     std::uint64_t sum = 0;
@@ -329,139 +317,6 @@
     }
 }
 
-RequestPromise DirectRouter::promiseOf(const FlowKey &flow) const noexcept
-{
-    const Route *route = m_routes->find(flow.service);
-    return route ? route->promise : RequestPromise{};
-}
-
-bool DirectRouter::holds(Flow &flow, DirectTarget &target, const Segment &segment, TimePoint now)
-{
-    if (segment.length == 0 || segment.finishes || segment.aborts)
-        return false;
-    if (flow.held)
-        return true;
-    const std::uint32_t end = segment.sequence + segment.length;
-    if (flow.requested || flow.state != FlowState::Open || !isLater(end, flow.end))
-        return false;
-    // A target that is silent gives no answer for which to wait, and its flows have to show so.
-    if (m_targets.belief(target) == TargetBelief::Suspect || target.goneAt)
-        return false;
-    // A caller that opens a flow for a request has waited since the opening; one that opens it
-    // ahead has not.
-    const bool openedForIt = !flow.asked && now - flow.establishedAt <= RequestFollowsWithin;
-    const TimePoint begunAt = openedForIt ? flow.openedAt - flow.waitedBefore : now;
-    const HeldRequest request{segment.flow, promiseOf(segment.flow), begunAt, now};
-    flow.held = m_gate.holds(target.entry.id, request);
-    target.held += flow.held ? 1 : 0;
-    flow.heldEnd = flow.end;
-    return flow.held;
-}
-
-SegmentVerdict DirectRouter::hold(Flow &flow, const DirectTarget &target, const Segment &segment)
-{
-    const std::uint32_t end = segment.sequence + segment.length;
-    if (!isLater(end, flow.heldEnd)) {
-        decided(SegmentCause::Absorbed, segment, &target, flow.service);
-        return DropSegment{};
-    }
-    flow.heldEnd = end;
-    decided(SegmentCause::Held, segment, &target, flow.service);
-    return HoldSegment{};
-}
-
-void DirectRouter::serveHeld(TimePoint now)
-{
-    for (const TargetId id : m_gate.targetsWaitedFor()) {
-        DirectTarget *target = m_targets.find(id);
-        const bool silent
-            = !target || target->goneAt || m_targets.belief(*target) == TargetBelief::Suspect;
-        while (silent) {
-            const auto request = m_gate.takeAny(id, now);
-            if (!request)
-                break;
-            letGo(*request, now);
-        }
-        if (!silent)
-            serveHeld(*target, now);
-    }
-}
-
-void DirectRouter::serveHeld(DirectTarget &target, TimePoint now)
-{
-    while (const auto request = m_gate.takeHopeless(target.entry.id, now))
-        giveUp(*request);
-    while (const auto request = m_gate.takeNext(target.entry.id, now))
-        letGo(*request, now);
-}
-
-void DirectRouter::stopHolding(TimePoint now)
-{
-    m_gate.stopHolding();
-    for (const TargetId target : m_gate.targetsWaitedFor()) {
-        while (const auto request = m_gate.takeAny(target, now))
-            letGo(*request, now);
-    }
-}
-
-void DirectRouter::dontHold(const FlowKey &key, TimePoint now)
-{
-    const auto known = m_flows.find(key);
-    if (known == m_flows.end() || !m_gate.forget(known->second.target, key))
-        return;
-    letGo({key, {}, now, now}, now);
-}
-
-void DirectRouter::letGo(const HeldRequest &request, TimePoint now)
-{
-    const auto known = m_flows.find(request.flow);
-    if (known == m_flows.end())
-        return;
-    Flow &flow = known->second;
-    noLongerHeld(flow);
-    flow.lastByteAt = now;
-    m_heldEnds.push_back({request.flow, true});
-    DirectTarget *target = targetOf(flow);
-    if (!target)
-        return;
-    flow.requested = true;
-    flow.asked = true;
-    flow.sentAt = now;
-    ++target->inFlight;
-    m_gate.sent(target->entry.id, now);
-    Segment segment;
-    segment.flow = request.flow;
-    measured(FlowTime::Held, now - request.heldAt, Duration{0}, segment, flow, *target);
-}
-
-void DirectRouter::giveUp(const HeldRequest &request)
-{
-    const auto known = m_flows.find(request.flow);
-    if (known == m_flows.end())
-        return;
-    noLongerHeld(known->second);
-    m_heldEnds.push_back({request.flow, false});
-    Segment segment;
-    segment.flow = request.flow;
-    decided(SegmentCause::GivenUp, segment, targetOf(known->second), known->second.service);
-}
-
-void DirectRouter::noLongerHeld(Flow &flow)
-{
-    flow.held = false;
-    if (DirectTarget *target = targetOf(flow))
-        target->held -= target->held > 0 ? 1 : 0;
-}
-
-void DirectRouter::forgetHeld(const FlowKey &key, Flow &flow)
-{
-    if (!flow.held)
-        return;
-    noLongerHeld(flow);
-    m_gate.forget(flow.target, key);
-    m_heldEnds.push_back({key, false});
-}
-
 void DirectRouter::answered(Flow &flow, DirectTarget &target, const Segment &segment, TimePoint now)
 {
     const Duration took = now - flow.lastByteAt;
@@ -472,20 +327,6 @@
     endRequest(flow, target);
 }
 
-void DirectRouter::learnLoad(const Flow &flow, const DirectTarget &target, Duration took,
-                             const Segment &segment, TimePoint now)
-{
-    const TargetWindow *window = m_gate.window(target.entry.id);
-    if (!window)
-        return;
-    const bool before = window->limited();
-    m_gate.answered(target.entry.id, took, promiseOf(segment.flow).latency, now);
-    if (window->limited() == before || !m_observer.saturated)
-        return;
-    m_observer.saturated(
-        {target, window->limited(), window->size(), window->usualAnswer(), flow.service});
-}
-
 void DirectRouter::measured(FlowTime time, Duration took, Duration usual, const Segment &segment,
                             const Flow &flow, const DirectTarget &target) const
 {
