--- a/src/core/direct/direct_node.cpp
+++ b/src/core/direct/direct_node.cpp
@@ -143,13 +143,20 @@
 
 void DirectNode::endHeld()
 {
-    for (const HeldEnd &end : m_router.takeHeldEnds()) {
-        for (const HeldSegments::Held &held : m_held.take(end.flow)) {
-            if (!end.goesOn)
-                continue;
-            const SegmentVerdict verdict = m_router.route(held.segment, m_ports.feed.now());
-            m_ports.carry(held.segment, held.payload, verdict);
-        }
+    // What goes on may make room for more.
+    for (auto ends = m_router.takeHeldEnds(); !ends.empty(); ends = m_router.takeHeldEnds()) {
+        for (const HeldEnd &end : ends)
+            endHeld(end);
+    }
+}
+
+void DirectNode::endHeld(const HeldEnd &end)
+{
+    for (const HeldSegments::Held &held : m_held.take(end.flow)) {
+        if (!end.goesOn)
+            continue;
+        const SegmentVerdict verdict = m_router.route(held.segment, m_ports.feed.now());
+        m_ports.carry(held.segment, held.payload, verdict);
     }
 }
 
--- a/src/core/direct/direct_node.h
+++ b/src/core/direct/direct_node.h
@@ -177,6 +177,7 @@
     [[nodiscard]] std::optional<SegmentVerdict> route(const Segment &segment,
                                                       std::string_view payload);
     void endHeld();
+    void endHeld(const HeldEnd &end);
     void serveHeldLater();
     void startFeeds(Collection &collection);
     static void stopStore(Collection &collection);
