--- a/days/play.sh
+++ b/scripts/play-days.sh
@@ -1,12 +1,12 @@
 #!/usr/bin/env bash
-# Plays every day of this folder on a site and prints a line for each: day, score line, broken rules.
-# Usage: FLEETBENCH=PROGRAM days/play.sh SITE WHY [day...]
+# Plays every day of deploy/days on a site and prints a line for each: day, score line, broken rules.
+# Usage: FLEETBENCH=PROGRAM scripts/play-days.sh SITE WHY [day...]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 site="$1" why="$2"
 shift 2
 days=("$@")
-[[ ${#days[@]} -gt 0 ]] || days=(days/*.toml)
+[[ ${#days[@]} -gt 0 ]] || days=(deploy/days/*.toml)
 play() {
     local name out
     name="$(basename "$3" .toml)"
