Say why a question to another daemon brought nothing

Symptom: on a daemon whose routes stayed old for nine seconds no line said why: whom it asked, how long it waited, how much came, why that was not taken. peer_failed was a count without a reason. Change: a line for each question without an answer and each large answer, counters of questions and bytes by outcome, bytes of answers that were cut off (also of the store's), a histogram of answers, and a walk-through.

--- a/src/core/direct/direct_node.cpp
+++ b/src/core/direct/direct_node.cpp
@@ -41,7 +41,7 @@
           },
           [this, &node](const FeedContact &end) { node.storeContact(*this, end); })
     , peers(
-          prefix, node.m_settings.peers, node.m_identity, node.m_ports.peers, copy,
+          prefix, node.m_settings.peers, node.m_identity, node.peerPorts(shortName), copy,
           [this, &node, take](const CollectionChange &change) {
               (node.*take)(change);
               node.m_relay.changed(prefix);
@@ -313,6 +313,15 @@
         askStoreLater(collection, state == PeerState::Lost ? LostSpread : StaleSpread);
 }
 
+PeerPorts DirectNode::peerPorts(std::string_view collection)
+{
+    PeerPorts ports = m_ports.peers;
+    ports.ended = [this, collection](const QuestionEnd &end) {
+        notice(PeerAsked{collection, end});
+    };
+    return ports;
+}
+
 ViewRelay::Ports DirectNode::relayPorts()
 {
     ViewRelay::Ports ports;
--- a/src/core/direct/direct_node.h
+++ b/src/core/direct/direct_node.h
@@ -61,6 +61,12 @@
     Endpoint source;             ///< The one that answered last; null for none.
     std::optional<Duration> age; ///< Of the copy in force.
 };
+/// \brief A question to another daemon has ended.
+struct PeerAsked
+{
+    std::string_view collection;
+    const QuestionEnd &end;
+};
 /// \brief The store has dropped the changes that a watch waited for; everything is listed anew.
 struct HistoryLost
 {
@@ -79,7 +85,7 @@
     Duration gap{0};
 };
 using NodeNotice = std::variant<RoutesInForce, ObjectRefused, StoreContact, PeerContact,
-                                HistoryLost, WaitingFull, StoodStill>;
+                                HistoryLost, WaitingFull, StoodStill, PeerAsked>;
 
 /// \brief What a DirectNode needs of its surroundings.
 struct DirectPorts
@@ -187,6 +193,7 @@
     void peerContact(Collection &collection, PeerState state);
     void tellFollowers(Collection &collection);
     [[nodiscard]] ViewRelay::Ports relayPorts();
+    [[nodiscard]] PeerPorts peerPorts(std::string_view collection);
     [[nodiscard]] Collection &collectionOf(const std::string &prefix) noexcept;
     [[nodiscard]] Lineage lineageOf(const Collection &collection) const;
     void askStoreLater(Collection &collection, Duration most);
--- a/src/core/directory/peer_feed.cpp
+++ b/src/core/directory/peer_feed.cpp
@@ -184,12 +184,17 @@
     Duration timeout = question.wait + m_settings.timeout;
     if (!m_copy.complete())
         timeout = first ? m_settings.firstTimeout : m_settings.copyTimeout;
+    const QuestionEnd end{source.address, question.after, question.wait};
     m_ports.ask(source.address, question, timeout,
-                [this, address = source.address, kind, run = std::weak_ptr{m_run},
-                 mine = *m_run](PeerReply reply) {
+                [this, end, asked = m_ports.now(), kind, run = std::weak_ptr{m_run},
+                 mine = *m_run](PeerResult result) {
                     const auto current = run.lock();
-                    if (current && *current == mine)
-                        onReply(address, kind, std::move(reply));
+                    if (!current || *current != mine)
+                        return;
+                    QuestionEnd ended = end;
+                    ended.took = m_ports.now() - asked;
+                    ended.bytes = result.bytes;
+                    onResult(std::move(ended), kind, std::move(result));
                 });
 }
 
@@ -229,15 +234,28 @@
         m_pulses = {{lineage.origin, lineage.pulse}};
 }
 
-void PeerFeed::onReply(const Endpoint &address, Question kind, PeerReply reply)
+void PeerFeed::tell(QuestionEnd end, QuestionOutcome outcome) const
 {
+    if (!m_ports.ended)
+        return;
+    end.outcome = outcome;
+    m_ports.ended(end);
+}
+
+void PeerFeed::onResult(QuestionEnd end, Question kind, PeerResult result)
+{
+    const Endpoint address = end.source;
     Source *source = find(address);
+    PeerReply &reply = result.reply;
     if (!source || !reply) {
+        end.why = std::move(result.why);
+        tell(std::move(end), QuestionOutcome::Unanswered);
         failed(address);
         return;
     }
     source->domain = reply->domain;
     if (!reply->redirect.empty()) {
+        tell(std::move(end), QuestionOutcome::Redirected);
         redirect(*source, reply->redirect);
         ask();
         return;
@@ -245,12 +263,15 @@
     const std::vector<Endpoint> &path = reply->lineage.path;
     const bool fromHere = std::find(path.begin(), path.end(), m_identity.address) != path.end();
     if (fromHere || path.size() > MostHops) {
+        end.why = fromHere ? "its copy comes from here" : "its copy comes over too many daemons";
+        tell(std::move(end), QuestionOutcome::Refused);
         m_staleSince = m_staleSince.value_or(m_ports.now()); // It answers, and knows no more.
         failed(address);
         return;
     }
     hear(reply->lineage);
     if (kind == Question::FirstLook) {
+        tell(std::move(end), QuestionOutcome::Looked);
         // The answer names a version and brings nothing. Where the store was faster meanwhile, to
         // take it would put the copy at a version whose changes it lacks: a drained target would go
         // on.
@@ -260,7 +281,9 @@
             looked(*source, *reply);
         return;
     }
-    if (!take(*reply)) {
+    const bool fresh = take(*reply);
+    tell(std::move(end), fresh ? QuestionOutcome::Taken : QuestionOutcome::Stale);
+    if (!fresh) {
         stale(address, reply->seated);
         return;
     }
--- a/src/core/directory/peer_feed.h
+++ b/src/core/directory/peer_feed.h
@@ -58,8 +58,9 @@
     std::function<void(Duration, std::function<void()>)> after;
     /// Asks a peer; the handler is called once, later, within \a timeout.
     std::function<void(const Endpoint &peer, const PeerQuestion &question, Duration timeout,
-                       std::function<void(PeerReply)>)>
+                       std::function<void(PeerResult)>)>
         ask;
+    std::function<void(const QuestionEnd &)> ended{}; ///< Told of each question; may be empty.
 };
 
 /// \brief Who asks.
@@ -136,7 +137,8 @@
         WholeCopy,
     };
     void askAt(const Source &source, Question kind = Question::Usual);
-    void onReply(const Endpoint &source, Question kind, PeerReply reply);
+    void onResult(QuestionEnd end, Question kind, PeerResult result);
+    void tell(QuestionEnd end, QuestionOutcome outcome) const;
     /// \return Whether the answer is fresh; one that is stale is taken too, where it is newer.
     [[nodiscard]] bool take(PeerAnswer &answer);
     void redirect(Source &from, const std::vector<Endpoint> &to);
--- a/src/core/directory/peer_view.h
+++ b/src/core/directory/peer_view.h
@@ -69,4 +69,34 @@
 /// \brief Nothing where the peer has no copy that it can vouch for.
 using PeerReply = std::optional<PeerAnswer>;
 
+/// \brief What a question brought the daemon that asked it.
+struct PeerResult
+{
+    PeerReply reply;         ///< Nothing where the peer said nothing, or not all of it in time.
+    std::uint64_t bytes = 0; ///< Received, of an answer that was not whole too.
+    std::string why{};       ///< There is no reply; empty where there is one.
+};
+
+/// \brief What became of a question.
+enum class QuestionOutcome {
+    Taken,      ///< The copy is as new as the source's.
+    Stale,      ///< The source's copy is out of date itself.
+    Looked,     ///< It was a look: the source has a copy.
+    Redirected, ///< The source named others to ask.
+    Refused,    ///< The source has its copy from this daemon, or over too many others.
+    Unanswered, ///< Nothing, or not all of it in time.
+};
+
+/// \brief How a question ended, for the log and the counters.
+struct QuestionEnd
+{
+    Endpoint source;
+    ObjectVersion after; ///< Version of the asking daemon's copy.
+    Duration wait{0};    ///< That the source was allowed.
+    Duration took{0};    ///< Until the end.
+    std::uint64_t bytes = 0;
+    QuestionOutcome outcome = QuestionOutcome::Taken;
+    std::string why{}; ///< Of an outcome that is no answer.
+};
+
 } // namespace baobabtrail
--- a/src/daemon/direct/direct_daemon.cpp
+++ b/src/daemon/direct/direct_daemon.cpp
@@ -38,6 +38,20 @@
     return policy;
 }
 
+/// \brief Reads what a call to another daemon brought.
+[[nodiscard]] PeerResult peerResult(const HttpResult &result)
+{
+    if (const auto *failure = std::get_if<HttpFailure>(&result))
+        return {{}, failure->bytes, failure->what};
+    const auto &response = std::get<HttpClientResponse>(result);
+    const std::uint64_t bytes = response.body().size();
+    if (response.result() != boost::beast::http::status::ok)
+        return {{}, bytes, "status " + std::to_string(response.result_int())};
+    PeerReply reply = wire::parseAnswer(response.body());
+    const char *const why = reply ? "" : "the answer can't be read";
+    return {std::move(reply), bytes, why};
+}
+
 } // namespace
 
 DirectDaemon::DirectDaemon(DirectDaemonSettings settings, SettingsFile file, std::uint64_t seed)
@@ -150,7 +164,7 @@
     ports.peers.now = ports.feed.now;
     ports.peers.after = ports.feed.after;
     ports.peers.ask = [this](const Endpoint &peer, const PeerQuestion &question, Duration timeout,
-                             std::function<void(PeerReply)> done) {
+                             std::function<void(PeerResult)> done) {
         askPeer(peer, question, timeout, std::move(done));
     };
     ports.reader = platform::directoryReader();
@@ -169,6 +183,8 @@
     ports.noticed = [this](const NodeNotice &notice) {
         m_metrics.objectsRefused += std::holds_alternative<ObjectRefused>(notice);
         m_metrics.stoodStill += std::holds_alternative<StoodStill>(notice);
+        if (const auto *asked = std::get_if<PeerAsked>(&notice))
+            m_metrics.asked(*asked);
         m_log.write(notice, monotonicNow());
     };
     ports.ready = [this] { m_log.ready(*m_node); };
@@ -195,10 +211,12 @@
 }
 
 void DirectDaemon::askPeer(const Endpoint &peer, const PeerQuestion &question, Duration timeout,
-                           std::function<void(PeerReply)> done)
+                           std::function<void(PeerResult)> done)
 {
     if (!m_peers) {
-        runtime().after(ClientRestart, [done = std::move(done)] { done(std::nullopt); });
+        runtime().after(ClientRestart, [done = std::move(done)] {
+            done({{}, 0, "the client is restarted"});
+        });
         return;
     }
     HttpCall call;
@@ -209,11 +227,9 @@
     call.timeout = timeout;
     call.repeatable = true;
     m_peers->call(std::move(call), [this, done = std::move(done)](const HttpResult &result) {
-        const auto *response = std::get_if<HttpClientResponse>(&result);
-        const bool answered = response && response->result() == boost::beast::http::status::ok;
-        PeerReply reply = answered ? wire::parseAnswer(response->body()) : std::nullopt;
-        ++(reply ? m_metrics.peersAnswered : m_metrics.peersFailed);
-        done(std::move(reply));
+        PeerResult read = peerResult(result);
+        ++(read.reply ? m_metrics.peersAnswered : m_metrics.peersFailed);
+        done(std::move(read));
     });
 }
 
@@ -227,9 +243,11 @@
     }
     m_node->handle(*question, [this, respond](const PeerReply &reply) {
         ++m_metrics.peersServed;
-        if (reply)
-            respond({200, "application/json", wire::toJson(*reply)});
-        else
+        if (reply) {
+            std::string body = wire::toJson(*reply);
+            m_metrics.peerBytesServed += body.size();
+            respond({200, "application/json", std::move(body)});
+        } else
             respond({503, "text/plain", "no copy that can be vouched for\n"});
     });
 }
--- a/src/daemon/direct/direct_daemon.h
+++ b/src/daemon/direct/direct_daemon.h
@@ -58,7 +58,7 @@
     [[nodiscard]] DirectPorts ports();
     void callStore(const PlatformRequest &request, std::function<void(PlatformResult)> done);
     void askPeer(const Endpoint &peer, const PeerQuestion &question, Duration timeout,
-                 std::function<void(PeerReply)> done);
+                 std::function<void(PeerResult)> done);
     void answerPeer(const HttpRequest &request, const HttpServer::Respond &respond);
     [[nodiscard]] HttpReply readiness(const HttpRequest &request) const;
     [[nodiscard]] HttpReply administration(const HttpRequest &request) const;
--- a/src/daemon/direct/direct_log.cpp
+++ b/src/daemon/direct/direct_log.cpp
@@ -64,6 +64,30 @@
         event.field("view_age_ms", *age);
 }
 
+/// Answers from this size on are worth a line, as copies or large changes.
+constexpr std::uint64_t LargeAnswer = 16384;
+
+/// \return The event of a question that ended so.
+[[nodiscard]] std::string_view kindOf(QuestionOutcome outcome) noexcept
+{
+    return outcome == QuestionOutcome::Taken ? "peer_copied" : "peer_unanswered";
+}
+
+/// \return Whether a question is counted only: most end within their wait and bring little, and the
+/// states of the source have lines of their own.
+[[nodiscard]] bool isCountedOnly(const QuestionEnd &end) noexcept
+{
+    switch (end.outcome) {
+    case QuestionOutcome::Unanswered:
+    case QuestionOutcome::Refused:
+        return false;
+    case QuestionOutcome::Taken:
+        return end.bytes < LargeAnswer;
+    default:
+        return true;
+    }
+}
+
 /// \brief Makes the line of a notice and names its part.
 struct NoticeLine
 {
@@ -109,6 +133,22 @@
             event.field("view_age_ms", *in.age);
         return event;
     }
+    LogEvent operator()(const PeerAsked &in) const
+    {
+        const QuestionEnd &end = in.end;
+        const bool taken = end.outcome == QuestionOutcome::Taken;
+        LogEvent event{taken ? Severity::Info : Severity::Warning, Part::Distribution,
+                       kindOf(end.outcome)};
+        event.field("collection", in.collection)
+            .field("source", end.source)
+            .field("after", end.after.value())
+            .field("wait_ms", end.wait)
+            .field("took_ms", end.took)
+            .field("bytes", end.bytes);
+        if (!end.why.empty())
+            event.field("why", end.why);
+        return event;
+    }
     LogEvent operator()(const HistoryLost &in) const
     {
         LogEvent event{Severity::Warning, Part::Platform, "history_lost"};
@@ -253,8 +293,11 @@
 {
     constexpr std::array<std::string_view, std::variant_size_v<NodeNotice>> kinds{
         "routes_in_force", "object_refused", "store_contact", "peer_contact",
-        "history_lost",    "waiting_full",   "stood_still"};
-    admit(Part::Daemon, kinds[notice.index()], now,
+        "history_lost",    "waiting_full",   "stood_still",   "peer_question"};
+    const auto *asked = std::get_if<PeerAsked>(&notice);
+    if (asked && isCountedOnly(asked->end))
+        return;
+    admit(Part::Daemon, asked ? kindOf(asked->end.outcome) : kinds[notice.index()], now,
           [&] { return std::visit(NoticeLine{}, notice); });
 }
 
--- a/src/daemon/direct/direct_metrics.cpp
+++ b/src/daemon/direct/direct_metrics.cpp
@@ -42,6 +42,17 @@
     service.times[static_cast<std::size_t>(measured.time)].add(measured.took);
 }
 
+void DirectMetrics::asked(const PeerAsked &asked)
+{
+    Questions &questions = m_questions[std::string{asked.collection}];
+    const QuestionEnd &end = asked.end;
+    const auto outcome = static_cast<std::size_t>(end.outcome);
+    ++questions.ends[outcome];
+    questions.bytes[outcome] += end.bytes;
+    if (end.outcome == QuestionOutcome::Taken && end.took > end.wait)
+        questions.answers.add(end.took - end.wait);
+}
+
 std::string DirectMetrics::page(const DirectNode &node, std::uint64_t logLinesLeftOut) const
 {
     Exposition page;
@@ -49,6 +60,7 @@
     writeEvents(page, logLinesLeftOut);
     writeServices(page);
     writeSocket(page);
+    writeQuestions(page);
     page.family("baobabtrail_store_calls_total", "counter", "Calls to the store, by result.");
     for (std::size_t call = 0; call < PlatformCallNames.size(); ++call) {
         for (std::size_t result = 0; result < PlatformResultNames.size(); ++result) {
@@ -137,6 +149,28 @@
     }
 }
 
+void DirectMetrics::writeQuestions(Exposition &page) const
+{
+    const auto write = [&](std::string_view name, std::string_view help, auto member) {
+        page.family(name, "counter", help);
+        for (const auto &[collection, questions] : m_questions) {
+            for (std::size_t index = 0; index < QuestionOutcomeNames.size(); ++index)
+                page.sample({{"collection", collection}, {"outcome", QuestionOutcomeNames[index]}},
+                            static_cast<double>((questions.*member)[index]));
+        }
+    };
+    write("baobabtrail_peer_questions_total", "Questions to other daemons, by how they ended.",
+          &Questions::ends);
+    write("baobabtrail_peer_answer_bytes_total", "Bytes received of their answers.",
+          &Questions::bytes);
+    writeOne(page, "baobabtrail_peer_served_bytes_total", "counter",
+             "Bytes of answers to other daemons.", static_cast<double>(peerBytesServed));
+    page.family("baobabtrail_peer_answer_seconds", "histogram",
+                "Of answers that were taken, beyond the wait that was allowed.");
+    for (const auto &[collection, questions] : m_questions)
+        questions.answers.write(page, {{"collection", collection}});
+}
+
 void DirectMetrics::writeSocket(Exposition &page) const
 {
     const auto counter
--- a/src/daemon/direct/direct_metrics.h
+++ b/src/daemon/direct/direct_metrics.h
@@ -22,6 +22,14 @@
 /// Names of FlowTime.
 inline constexpr std::array<std::string_view, 3> FlowTimeNames{"open", "answer", "held"};
 
+/// Names of QuestionOutcome.
+inline constexpr std::array<std::string_view, 6> QuestionOutcomeNames{
+    "taken", "stale", "looked", "redirected", "refused", "unanswered"};
+
+[[nodiscard]] constexpr std::string_view nameOf(QuestionOutcome outcome) noexcept
+{
+    return QuestionOutcomeNames[static_cast<std::size_t>(outcome)];
+}
 [[nodiscard]] constexpr std::string_view nameOf(SegmentCause cause) noexcept
 {
     return SegmentCauseNames[static_cast<std::size_t>(cause)];
@@ -39,6 +47,7 @@
 public:
     void decided(const SegmentDecision &decision, const RouteTable &routes);
     void measured(const FlowMeasured &measured, const RouteTable &routes);
+    void asked(const PeerAsked &asked);
 
     /// \return The metrics page. \param logLinesLeftOut So far.
     [[nodiscard]] std::string page(const DirectNode &node, std::uint64_t logLinesLeftOut) const;
@@ -50,7 +59,8 @@
     std::uint64_t packetsDelayed = 0; ///< Waited for the directory.
     std::uint64_t peersAnswered = 0;  ///< Questions of this daemon.
     std::uint64_t peersFailed = 0;
-    std::uint64_t peersServed = 0; ///< Questions of others.
+    std::uint64_t peersServed = 0;     ///< Questions of others.
+    std::uint64_t peerBytesServed = 0; ///< Bodies of the answers.
     std::array<CounterArray<PlatformResultNames.size()>, PlatformCallNames.size()> storeCalls{};
 
 private:
@@ -65,9 +75,19 @@
     static void writeOverload(Exposition &page, const DirectNode &node);
     void writeEvents(Exposition &page, std::uint64_t logLinesLeftOut) const;
     void writeServices(Exposition &page) const;
+    void writeQuestions(Exposition &page) const;
     void writeSocket(Exposition &page) const;
 
+    /// \brief Questions about one collection to other daemons.
+    struct Questions
+    {
+        CounterArray<QuestionOutcomeNames.size()> ends{};
+        CounterArray<QuestionOutcomeNames.size()> bytes{};
+        DurationHistogram answers; ///< Beyond the wait; of answers that were taken.
+    };
+
     std::map<std::string, Service, std::less<>> m_services;
+    std::map<std::string, Questions, std::less<>> m_questions; ///< By collection.
 };
 
 } // namespace baobabtrail::daemon
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -109,7 +109,7 @@
             else if (bytes == 0)
                 self->failOrRetry("no answer", error);
             else
-                self->fail("the answer was cut off", error);
+                self->fail("the answer was cut off", error, bytes);
         };
         http::async_read(*m_connection, m_buffer, *m_parser, received);
     }
@@ -142,9 +142,9 @@
         connect();
     }
 
-    void fail(const char *what, error_code error)
+    void fail(const char *what, error_code error, std::uint64_t bytes = 0)
     {
-        report(HttpFailure{std::string{what} + ": " + error.message()});
+        report(HttpFailure{std::string{what} + ": " + error.message(), bytes});
     }
 
     void report(HttpResult result)
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -7,6 +7,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -21,6 +22,7 @@
 struct HttpFailure
 {
     std::string what;
+    std::uint64_t bytes = 0; ///< Received all the same.
 };
 
 using HttpResult = std::variant<HttpClientResponse, HttpFailure>;
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -14,6 +14,12 @@
     return watch ? watch->wait : Duration{0};
 }
 
+/// \return Words on how much came, where anything did.
+[[nodiscard]] std::string after(std::uint64_t bytes)
+{
+    return bytes == 0 ? std::string{} : ", after " + std::to_string(bytes) + " bytes";
+}
+
 } // namespace
 
 PlatformClient::PlatformClient(boost::asio::io_context &context, PlatformClientSettings settings)
@@ -31,7 +37,7 @@
     call.repeatable = platform::isRead(request);
     m_http.call(std::move(call), [request, done = std::move(done)](const HttpResult &result) {
         if (const auto *failure = std::get_if<HttpFailure>(&result))
-            done(PlatformFailure{"the store: " + failure->what});
+            done(PlatformFailure{"the store: " + failure->what + after(failure->bytes)});
         else
             done(platform::toResult(request, std::get<HttpClientResponse>(result)));
     });
--- a/tests/directory/peer_feed_test.cpp
+++ b/tests/directory/peer_feed_test.cpp
@@ -39,8 +39,10 @@
         ports.after
             = [this](Duration, std::function<void()> call) { pauses.push_back(std::move(call)); };
         ports.ask = [this](const Endpoint &, const PeerQuestion &question, Duration,
-                           std::function<void(PeerReply)> done) {
-            asked.push_back({question, std::move(done)});
+                           std::function<void(PeerResult)> done) {
+            asked.push_back({question, [done = std::move(done)](PeerReply reply) {
+                                 done({std::move(reply)});
+                             }});
         };
         return ports;
     }
--- a/tests/explain/walkthrough_test.cpp
+++ b/tests/explain/walkthrough_test.cpp
@@ -138,3 +138,17 @@
     (void)system.open(2, 500);
     expectInOrder(system.text(), {"\"event\":\"no_route\"", "\"left_out\":280"});
 }
+
+// A daemon's routes stay old while the others have the new ones: nothing reaches it from them. Its
+// log names each question that brought nothing: whom it asked, how long it waited, how much came.
+Test(explain, aChangeThatIsNotInForce)
+{
+    LoggedCluster system{6};
+    addTarget(system);
+    system.cluster.cutFromPeers.insert(4);
+    system.cluster.time.run(3s);
+    expectInOrder(system.text(),
+                  {"edge-4 ", "\"event\":\"peer_unanswered\",\"collection\":\"routes\",\"source\":",
+                   "\"after\":", "\"wait_ms\":1600", "\"took_ms\":2000", "\"bytes\":0",
+                   "\"why\":\"no answer\""});
+}
--- a/tests/support/direct_cluster.h
+++ b/tests/support/direct_cluster.h
@@ -168,7 +168,7 @@
         ports.peers.now = ports.feed.now;
         ports.peers.after = ports.feed.after;
         ports.peers.ask = [this, index](const Endpoint &peer, const PeerQuestion &question,
-                                        Duration timeout, std::function<void(PeerReply)> done) {
+                                        Duration timeout, std::function<void(PeerResult)> done) {
             ask(index, peer, question, timeout, std::move(done));
         };
         ports.reader = reader();
@@ -178,14 +178,14 @@
     }
 
     void ask(std::size_t from, const Endpoint &peer, const PeerQuestion &question, Duration timeout,
-             std::function<void(PeerReply)> done)
+             std::function<void(PeerResult)> done)
     {
         ++asks;
         const auto answered = std::make_shared<bool>(false);
         const auto once = [this, from, answered, done](const PeerReply &reply) {
             if (std::exchange(*answered, true))
                 return;
-            at(from, [done, reply] { done(reply); })();
+            at(from, [done, reply] { done({reply, sizeOf(reply), reply ? "" : "no answer"}); })();
         };
         time.after(timeout, at(from, [once] { once(std::nullopt); }));
         const std::size_t to = peer.address - addressOf(0).address;
