Test a large change over small links, which fails

Symptom: 60 daemons in virtual time, links of 10 Mbit/s, 1,645 routes. An operator adds 1,400 more during a release of targets: five seconds later 34 of 60 daemons have them in force. With 5,000 routes and one more: 21 of 60. The bound is the users' own.

--- /dev/null
+++ b/tests/large-change/large_change_test.cpp
@@ -0,0 +1,98 @@
+#include "support/direct_cluster.h"
+
+#include <boost/random/mersenne_twister.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace baobabtrail;
+using namespace baobabtrail::test;
+
+namespace {
+
+/// 10 Mbit/s, the smallest link of the deployments.
+constexpr std::uint64_t SmallestLink = 1'250'000;
+/// The shortest time in which a change has to be in force on a system of this size.
+constexpr Duration InForceWithin = 5s;
+constexpr std::size_t Daemons = 60;
+constexpr std::size_t Roots = 3;
+
+/// \return A configuration as an operator writes it, some 190 bytes a route; one with more routes
+/// begins with those of one with fewer.
+[[nodiscard]] std::string configuration(std::uint64_t version, std::size_t routes)
+{
+    boost::random::mt19937 random{7};
+    boost::random::uniform_int_distribution<int> byte{0, 255};
+    boost::random::uniform_int_distribution<int> port{1024, 65535};
+    std::string text = std::to_string(version) + " [";
+    for (std::size_t index = 0; index < routes; ++index) {
+        text += R"({"name":"route-)" + std::to_string(byte(random)) + std::to_string(index)
+                + R"(","host":"198.18.)" + std::to_string(byte(random)) + '.'
+                + std::to_string(byte(random)) + R"(","path_prefix":"/)"
+                + std::to_string(port(random))
+                + R"(/","service":"boarding","kind":"idempotent","timeout_ms":4000,)"
+                  R"("target_latency_ms":500,"priority":1,"max_attempts":3},)";
+    }
+    return text + "]";
+}
+
+[[nodiscard]] std::size_t daemonsAt(DirectCluster &cluster, std::uint64_t version)
+{
+    std::size_t count = 0;
+    for (std::size_t index = 0; index < cluster.size(); ++index)
+        count += cluster.node(index)->router().routes().version >= version;
+    return count;
+}
+
+/// \brief Targets register all the while, one each 250 ms, as when they are replaced.
+void release(DirectCluster &cluster, std::uint64_t target)
+{
+    cluster.store.put(DirectCluster::targetKey(target), "x ready");
+    cluster.time.after(250ms, [&cluster, target] { release(cluster, target + 1); });
+}
+
+/// \brief Daemons with the smallest links that hold a configuration of so many routes.
+void settle(DirectCluster &cluster, std::size_t routes)
+{
+    cluster.store.put("routes/main", configuration(9, routes));
+    cluster.time.run(20s);
+    cr_assert_eq(daemonsAt(cluster, 9), Daemons);
+    cluster.linkBytesPerSecond = SmallestLink;
+    release(cluster, 1);
+    cluster.time.run(5s);
+}
+
+} // namespace
+
+// An operator adds 1,400 routes to 1,645 and, as soon as that is acknowledged, one more. A caller
+// whose route was dropped is still served by daemons that have not heard of it five seconds later.
+// A question has 0.4 s beyond its wait, and all routes together, 590 KB, take 0.5 s over the link
+// alone: what came is thrown away, and the next source is asked for everything again.
+Test(largeChange, aLargeChangeIsInForceInTimeOverSmallLinks)
+{
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        DirectCluster cluster{Daemons, Roots, seed};
+        settle(cluster, 1645);
+        cluster.store.put("routes/main", configuration(11, 3045));
+        cluster.time.run(2240ms);
+        cluster.store.put("routes/main", configuration(14, 3046));
+        cluster.time.run(InForceWithin - 2240ms);
+        cr_assert_eq(daemonsAt(cluster, 11), Daemons, "%zu of %zu, seed %lu",
+                     daemonsAt(cluster, 11), Daemons, seed);
+        cluster.time.run(2240ms);
+        cr_assert_eq(daemonsAt(cluster, 14), Daemons, "%zu of %zu, seed %lu",
+                     daemonsAt(cluster, 14), Daemons, seed);
+    }
+}
+
+// One route is changed of as many as fit the largest object that the store holds, a megabyte. What
+// travels has to go with the change, not with all that stands: each daemon has 2 KB a second.
+Test(largeChange, aSmallChangeOfManyRoutesIsInForceInTime)
+{
+    constexpr std::size_t routes = 5000;
+    DirectCluster cluster{Daemons, Roots, 4};
+    settle(cluster, routes);
+    cluster.store.put("routes/main", configuration(11, routes + 1));
+    cluster.time.run(InForceWithin);
+    cr_assert_eq(daemonsAt(cluster, 11), Daemons, "%zu of %zu", daemonsAt(cluster, 11), Daemons);
+}
