List the store where a watch would bring more

Symptom: an operator's tool writes 2,000 routes twelve times a second for four seconds; ten seconds after the last of these versions no daemon of 60 has it in force. Cause: a watch brings each version of an object, 380 KB each. While one answer passes the link, more versions come about than it brings, so that each answer is longer than the one before. Change: a watch says how much it takes: 64 KB and twice what the copy holds. A longer answer ends with its head, and the list that follows brings only the newest.

--- a/src/core/directory/collection_copy.cpp
+++ b/src/core/directory/collection_copy.cpp
@@ -27,7 +27,9 @@
     change.version = version;
     change.afterOutage = afterOutage;
     std::map<std::string, StoredObject> next;
+    m_bytes = 0;
     for (const StoredObject &object : objects) {
+        m_bytes += object.value.size();
         const auto known = m_objects.find(object.key);
         if (known == m_objects.end() || known->second.version != object.version) {
             change.written.push_back(object);
@@ -64,13 +66,18 @@
         StoredObject &known = m_objects[object.key];
         if (known.version >= object.version)
             continue;
+        m_bytes += object.value.size() - known.value.size();
         keepOld(std::move(known));
         known = object;
         change.written.push_back(object);
     }
     for (const std::string &key : changes.removed) {
-        if (m_objects.erase(key) > 0)
-            change.removed.push_back(key);
+        const auto known = m_objects.find(key);
+        if (known == m_objects.end())
+            continue;
+        m_bytes -= known->second.value.size();
+        m_objects.erase(known);
+        change.removed.push_back(key);
     }
     m_version = changes.version;
     // An object that came and went within these changes was never here, but may be in a copy of a
--- a/src/core/directory/collection_copy.h
+++ b/src/core/directory/collection_copy.h
@@ -51,6 +51,8 @@
     [[nodiscard]] ObjectVersion version() const noexcept { return m_version; }
     [[nodiscard]] std::optional<TimePoint> confirmedAt() const noexcept { return m_confirmedAt; }
     [[nodiscard]] std::size_t size() const noexcept { return m_objects.size(); }
+    /// \return Bytes of all values.
+    [[nodiscard]] std::uint64_t bytes() const noexcept { return m_bytes; }
     /// \return What a copy of that version lacks.
     [[nodiscard]] CollectionDelta since(ObjectVersion version) const;
     /// \return The object as a copy of that version has it, where that was an older value than the
@@ -77,6 +79,7 @@
     void keepOld(StoredObject object);
 
     std::map<std::string, StoredObject> m_objects;
+    std::uint64_t m_bytes = 0; ///< Of their values.
     ObjectVersion m_version;
     ObjectVersion m_changedAt;     ///< Of the newest change.
     ObjectVersion m_remembersFrom; ///< Changes behind this version are in \a m_steps.
--- a/src/core/directory/store_feed.cpp
+++ b/src/core/directory/store_feed.cpp
@@ -12,6 +12,10 @@
 /// A watch that returns without a change sooner than this is not repeated at once: the store may
 /// answer each one so, and calls are priced.
 constexpr Duration ShortestWatch = 200ms;
+/// Longest answer of a watch: so many bytes, a fraction of a second over the thinnest link, and so
+/// many times the values of the copy, what a list brings with what the store says around them.
+constexpr std::uint64_t WatchBytes = 64 << 10;
+constexpr std::uint64_t WatchShare = 2;
 
 } // namespace
 
@@ -113,9 +117,14 @@
     watch();
 }
 
+// A watch tells each version of an object, and over a thin link more of them come about while one
+// answer passes than it brings: with 2,000 routes written twelve times a second for four seconds,
+// no daemon had the last version ten seconds later. A list has the newest version of each object
+// only, so that it is asked for where a watch would bring more.
 void StoreFeed::watch()
 {
-    call(WatchObjects{m_prefix, m_copy.version(), m_settings.watchWait}, &StoreFeed::onWatch);
+    const std::uint64_t most = WatchBytes + WatchShare * m_copy.bytes();
+    call(WatchObjects{m_prefix, m_copy.version(), m_settings.watchWait, most}, &StoreFeed::onWatch);
 }
 
 void StoreFeed::onWatch(TimePoint asked, PlatformResult result)
@@ -126,6 +135,12 @@
         list();
         return;
     }
+    if (std::holds_alternative<WatchTooLong>(result)) {
+        succeeded();
+        m_pages.clear();
+        later(m_settings.gather, &StoreFeed::list);
+        return;
+    }
     auto *list = std::get_if<ObjectList>(&result);
     if (!list) {
         failed(result, m_backoff, &StoreFeed::watch);
--- a/src/core/messages/platform.h
+++ b/src/core/messages/platform.h
@@ -58,6 +58,7 @@
     std::string prefix;
     ObjectVersion after;
     Duration wait{0};
+    std::uint64_t mostBytes = 0; ///< A longer answer is not taken; 0 for any.
 };
 struct DeleteObject
 {
@@ -102,6 +103,10 @@
 struct HistoryGone
 {
 };
+/// \brief A watch has more to say than was allowed: every version of each object. A list says less.
+struct WatchTooLong
+{
+};
 struct VmList
 {
     std::vector<VmEntry> vms;
@@ -115,6 +120,6 @@
 };
 
 using PlatformResult = std::variant<Written, WriteConflict, StoredObject, ObjectMissing, ObjectList,
-                                    VmList, PlatformFailure, HistoryGone>;
+                                    VmList, PlatformFailure, HistoryGone, WatchTooLong>;
 
 } // namespace baobabtrail
--- a/src/daemon/metrics/names.h
+++ b/src/daemon/metrics/names.h
@@ -34,8 +34,9 @@
     "indirect_ping", "ping_ack",      "revision_notice"};
 inline constexpr std::array<std::string_view, 7> PlatformCallNames{
     "create", "update", "read", "list", "watch", "delete", "list_vms"};
-inline constexpr std::array<std::string_view, 8> PlatformResultNames{
-    "written", "conflict", "object", "missing", "objects", "vms", "failure", "historyGone"};
+inline constexpr std::array<std::string_view, 9> PlatformResultNames{
+    "written", "conflict", "object",      "missing",     "objects",
+    "vms",     "failure",  "historyGone", "watchTooLong"};
 
 static_assert(FlowMessageNames.size() == std::variant_size_v<FlowMessage>);
 static_assert(RequestMessageNames.size() == std::variant_size_v<RequestMessage>);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -109,7 +109,7 @@
     void receive()
     {
         m_parser.emplace();
-        m_parser->body_limit(MaxResponseBytes);
+        m_parser->body_limit(m_call.mostBytes > 0 ? m_call.mostBytes : MaxResponseBytes);
         m_parser->eager(true); // Takes the body too as it comes.
         m_received = 0;
         receiveSome();
@@ -126,7 +126,9 @@
 
     void receivedSome(error_code error)
     {
-        if (error && m_received == 0) {
+        if (error == http::error::body_limit) {
+            report(HttpFailure{"the answer is too long", m_received, true});
+        } else if (error && m_received == 0) {
             failOrRetry("no answer", error);
         } else if (error) {
             fail("the answer was cut off", error, m_received);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -23,6 +23,7 @@
 {
     std::string what;
     std::uint64_t bytes = 0; ///< Received all the same.
+    bool tooLong = false;    ///< The response is longer than the call allows.
 };
 
 using HttpResult = std::variant<HttpClientResponse, HttpFailure>;
@@ -37,6 +38,7 @@
     Duration timeout{0};
     /// From the call to the end of the response; 0 where it has to be whole within the timeout.
     Duration longest{0};
+    std::uint64_t mostBytes = 0; ///< Of the response's body; 0 for a bound that none should meet.
     /// May be sent once more where a connection that was kept turns out to be dropped.
     bool repeatable = false;
 };
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -14,6 +14,12 @@
     return watch ? watch->wait : Duration{0};
 }
 
+[[nodiscard]] std::uint64_t mostBytes(const PlatformRequest &request) noexcept
+{
+    const auto *watch = std::get_if<WatchObjects>(&request);
+    return watch ? watch->mostBytes : 0;
+}
+
 /// \return Words on how much came, where anything did.
 [[nodiscard]] std::string after(std::uint64_t bytes)
 {
@@ -35,9 +41,13 @@
     call.request = platform::toHttp(request, m_settings.platform);
     call.timeout = m_settings.timeout + extraWait(request);
     call.longest = call.timeout + m_settings.longestAnswer;
+    call.mostBytes = mostBytes(request);
     call.repeatable = platform::isRead(request);
     m_http.call(std::move(call), [request, done = std::move(done)](const HttpResult &result) {
-        if (const auto *failure = std::get_if<HttpFailure>(&result))
+        const auto *failure = std::get_if<HttpFailure>(&result);
+        if (failure && failure->tooLong && std::holds_alternative<WatchObjects>(request))
+            done(WatchTooLong{});
+        else if (failure)
             done(PlatformFailure{"the store: " + failure->what + after(failure->bytes)});
         else
             done(platform::toResult(request, std::get<HttpClientResponse>(result)));
--- a/tests/large-change/large_change_test.cpp
+++ b/tests/large-change/large_change_test.cpp
@@ -141,3 +141,23 @@
     (void)cluster.time.runUntil([&] { return ready() == Daemons; }, RecoversWithin);
     cr_assert_eq(ready(), Daemons, "%zu of %zu", ready(), Daemons);
 }
+
+// An operator's tool writes the configuration twelve times a second for four seconds, 2,000 routes
+// of 190 bytes each time. The store tells a watch each of these versions, and while one answer
+// passes a root's link, several more come about: each answer is longer than the one before, and the
+// last version is in force a quarter of a minute late. A list has only the newest.
+Test(largeChange, changesInQuickSuccessionAreInForceInTime)
+{
+    constexpr std::uint64_t first = 20;
+    constexpr std::uint64_t last = 70;
+    constexpr Duration InForceOfDesign = 10s;
+    DirectCluster cluster{Daemons, Roots, 8};
+    settle(cluster, 2000);
+    for (std::uint64_t version = first; version <= last; ++version) {
+        cluster.store.put("routes/main", configuration(version, 2000));
+        cluster.time.run(80ms);
+    }
+    cluster.time.run(InForceOfDesign);
+    cr_assert_eq(daemonsAt(cluster, last), Daemons, "%zu of %zu", daemonsAt(cluster, last),
+                 Daemons);
+}
--- a/tests/platform/client_test.cpp
+++ b/tests/platform/client_test.cpp
@@ -210,6 +210,24 @@
     bench.expect<ObjectList>(WatchObjects{"b/", list.latest, 10ms});
 }
 
+// An object is written again and again while nobody watches. The watch that follows would bring
+// each of these versions; its caller is told so before they travel, and lists the newest.
+Test(platformClient, watchThatWouldBringTooMuchSaysSo)
+{
+    constexpr int versions = 20;
+    constexpr std::uint64_t most = 5000;
+    Bench bench;
+    const auto first = bench.expect<Written>(CreateObject{"b/1", "one"});
+    auto last = first;
+    for (int version = 0; version < versions; ++version)
+        last = bench.expect<Written>(
+            UpdateObject{"b/1", std::string(400, static_cast<char>('a' + version)), last.version});
+    bench.expect<WatchTooLong>(WatchObjects{"b/", first.version, 10ms, most});
+    const auto list = bench.expect<ObjectList>(ListObjects{"b/", "b/"});
+    cr_assert_eq(list.objects.at(0).value.back(), 'a' + versions - 1);
+    bench.expect<ObjectList>(WatchObjects{"b/", list.latest, 10ms, most});
+}
+
 Test(platformClient, watchTellsWhatIsGone)
 {
     Bench bench;
