Soak: large changes over thin links, and every daemon at the newest configuration

Symptom: the soak changed single routes of five, and passed over a fault of large ones. At the end every daemon has to act by the newest configuration.

--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -34,6 +34,7 @@
 public:
     explicit Soak(std::uint64_t seed)
         : m_random(seed)
+        , m_largeRandom(~seed)
         , m_world(FLAGS_daemons, std::min<std::size_t>(3, FLAGS_daemons), FLAGS_callers)
     {
         if (FLAGS_verbose)
@@ -48,6 +49,7 @@
         while (World::Clock::now() < end) {
             // In series and overlapping: the next one often comes before the last is over.
             fault();
+            largeChange();
             askSome();
             m_world.run(std::chrono::milliseconds{draw(20, 700)});
         }
@@ -132,6 +134,27 @@
         }
     }
 
+    /// \brief Now and then the configuration grows or shrinks by hundreds of routes, while a
+    /// daemon's link is thin. Its draws are its own, so that the other faults of a seed stay what
+    /// they were.
+    void largeChange()
+    {
+        using Draw = boost::random::uniform_int_distribution<int>;
+        constexpr int firstQuietRoute = 100;
+        constexpr std::uint64_t thinLink = 1'250'000;
+        const bool due = Draw{0, 7}(m_largeRandom) == 0;
+        const int count = Draw{100, 3000}(m_largeRandom);
+        const auto thin
+            = static_cast<std::size_t>(Draw{0, static_cast<int>(FLAGS_daemons) - 1}(m_largeRandom));
+        if (!due || storeAway())
+            return;
+        m_grown = !m_grown;
+        say(std::to_string(count) + (m_grown ? " routes more" : " routes less, or all"));
+        m_world.setRoutes(firstQuietRoute, m_grown ? count : 3000, m_grown);
+        m_world.peersOf(thin).setBytesPerSecond(thinLink);
+        later(5s, [this, thin] { m_world.peersOf(thin).setBytesPerSecond(0); });
+    }
+
     void kill(std::size_t index)
     {
         say("kill " + std::to_string(index));
@@ -282,6 +305,16 @@
         if (!m_world.runUntil([&] { return m_world.inRotation() == FLAGS_daemons; }, 12s))
             m_findings.emplace_back("not all daemons were ready within 12 s of the last fault");
         m_world.run(4s);
+        for (std::size_t index = 0; index < FLAGS_daemons; ++index)
+            expect(hasNewestConfiguration(index),
+                   "daemon " + std::to_string(index) + " acts by an old configuration");
+    }
+
+    [[nodiscard]] bool hasNewestConfiguration(std::size_t index)
+    {
+        const std::string newest = "\nbaobabtrail_config_version "
+                                   + std::to_string(m_world.newestConfiguration()) + '\n';
+        return m_world.metricsOf(index).find(newest) != std::string::npos;
     }
 
     std::vector<std::string> judge()
@@ -320,12 +353,14 @@
     }
 
     Random m_random;
+    Random m_largeRandom;
     World m_world;
     std::vector<std::size_t> m_live; ///< Targets that neither drain nor crashed.
     std::set<std::size_t> m_dead;    ///< Daemons that ended and are to be started again.
     std::set<std::size_t> m_paused;
     std::vector<std::uint64_t> m_unregister; ///< Gone targets that are still in the store.
     World::Clock::time_point m_storeHarmed{};
+    bool m_grown = false; ///< The configuration has many routes that nobody calls.
     std::vector<std::string> m_findings;
 };
 
--- a/standins/direct/tcp_proxy.h
+++ b/standins/direct/tcp_proxy.h
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <list>
@@ -41,6 +42,9 @@
         accept();
     }
 
+    /// \brief Answers of all connections together pass at this rate; 0 for no bound.
+    void setBytesPerSecond(std::uint64_t rate) { m_bytesPerSecond = rate; }
+
     [[nodiscard]] std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
 
     void set(Mode mode)
@@ -56,6 +60,22 @@
     }
 
 private:
+    using Clock = std::chrono::steady_clock;
+
+    /// \return How long a piece of an answer waits before it passes.
+    [[nodiscard]] Clock::duration delayOf(std::size_t bytes, Mode mode)
+    {
+        Clock::duration delay{0};
+        if (mode == Mode::Delayed)
+            delay += std::chrono::milliseconds{300};
+        if (m_bytesPerSecond == 0)
+            return delay;
+        const Clock::duration second = std::chrono::seconds{1};
+        const Clock::duration passing = second * bytes / m_bytesPerSecond;
+        m_freeAt = std::max(m_freeAt, Clock::now()) + passing;
+        return delay + (m_freeAt - Clock::now());
+    }
+
     struct Link : std::enable_shared_from_this<Link>
     {
         Link(TcpProxy &ownProxy, tcp::socket caller)
@@ -104,12 +124,12 @@
                                                  self->pump(from, to, buffer, answers);
                                          });
             };
-            if (mode != Mode::Delayed || !answers) {
+            const auto delay = answers ? proxy.delayOf(size, mode) : Clock::duration{0};
+            if (delay == Clock::duration{0}) {
                 write();
                 return;
             }
-            auto timer = std::make_shared<boost::asio::steady_timer>(
-                proxy.m_context, std::chrono::milliseconds{300});
+            auto timer = std::make_shared<boost::asio::steady_timer>(proxy.m_context, delay);
             timer->async_wait([timer, write](boost::system::error_code) { write(); });
         }
 
@@ -154,6 +174,8 @@
     tcp::acceptor m_acceptor;
     tcp::endpoint m_server;
     Mode m_mode = Mode::Pass;
+    std::uint64_t m_bytesPerSecond = 0;
+    Clock::time_point m_freeAt{}; ///< What came until now has passed by then.
     std::list<std::weak_ptr<Link>> m_links;
 };
 
--- a/standins/direct/world.h
+++ b/standins/direct/world.h
@@ -132,6 +132,21 @@
         writeRoutes();
     }
 
+    /// \brief Adds or removes many routes in one version of the configuration; nobody calls them.
+    void setRoutes(int first, int count, bool there)
+    {
+        for (int number = first; number < first + count; ++number) {
+            if (there)
+                m_routes.insert(number);
+            else
+                m_routes.erase(number);
+        }
+        writeRoutes();
+    }
+
+    /// \return Version of the newest configuration.
+    [[nodiscard]] std::uint64_t newestConfiguration() const noexcept { return m_version; }
+
     /// \brief Starts a target and registers it. \return Its place among the targets.
     std::size_t addTarget(const std::string &service, std::optional<Endpoint> address = {})
     {
