--- a/bench/directory.cpp
+++ b/bench/directory.cpp
@@ -3,6 +3,7 @@
 /// between daemons, time until a change is in force, and processor time, by number of daemons and
 /// by who watches the store.
 
+#include "support/configuration_text.h"
 #include "support/direct_cluster.h"
 
 #include <gflags/gflags.h>
@@ -13,6 +14,8 @@
 #include <iostream>
 
 DEFINE_uint64(targets, 0, "registered targets; 0 for seven for each daemon, as 4,400 for 630");
+DEFINE_uint64(routes, 2000, "routes of the configuration, where its changes are measured");
+DEFINE_uint64(link, 1250000, "bytes a second of each daemon's link, where these are measured");
 DEFINE_uint64(seconds, 60, "quiet seconds that are measured");
 
 namespace {
@@ -134,6 +137,54 @@
         return {half, worst};
     }
 
+public:
+    /// \brief Changes of a configuration of many routes, over small links.
+    void printConfiguration()
+    {
+        m_cluster.store.put("routes/main", configurationText(m_version, FLAGS_routes));
+        m_cluster.time.run(SettleTime);
+        m_cluster.linkBytesPerSecond = FLAGS_link;
+        m_cluster.countBytes = true;
+        for (const std::uint64_t more : {std::uint64_t{1}, FLAGS_routes})
+            printChange(more);
+        m_cluster.countBytes = false;
+    }
+
+private:
+    void printChange(std::uint64_t more)
+    {
+        const std::vector<std::uint64_t> before = allBytes();
+        m_routes += more;
+        m_cluster.store.put("routes/main", configurationText(++m_version, FLAGS_routes + m_routes));
+        const TimePoint began = m_cluster.time.now();
+        const auto everywhere = [&] {
+            for (std::size_t index = 0; index < m_cluster.size(); ++index) {
+                if (m_cluster.node(index)->router().routes().version < m_version)
+                    return false;
+            }
+            return true;
+        };
+        m_cluster.time.runUntil(everywhere, 60s);
+        const std::chrono::duration<double, std::milli> took = m_cluster.time.now() - began;
+        const std::vector<std::uint64_t> after = allBytes();
+        Rates sent;
+        for (std::size_t index = 0; index < after.size(); ++index)
+            add(sent, static_cast<double>(after[index] - before[index]));
+        std::cout << std::setw(8) << m_cluster.size() << std::setw(9)
+                  << FLAGS_routes + m_routes - more << std::setw(8) << more << std::fixed
+                  << std::setprecision(0) << std::setw(10) << took.count() << std::setw(10)
+                  << sent.mean << std::setw(10) << sent.most << std::endl;
+        m_cluster.time.run(SettleTime);
+    }
+
+    [[nodiscard]] std::vector<std::uint64_t> allBytes() const
+    {
+        std::vector<std::uint64_t> all;
+        for (std::size_t index = 0; index < m_cluster.size(); ++index)
+            all.push_back(bytesOf(index));
+        return all;
+    }
+
     /// \return Calls to a store that answers nobody for a while.
     std::uint64_t outage()
     {
@@ -144,6 +195,8 @@
     }
 
     DirectCluster m_cluster;
+    std::uint64_t m_version = 9;
+    std::uint64_t m_routes = 0; ///< Added so far.
     Rates m_bytes;
     Rates m_asked;
     double m_share = 0;
@@ -161,5 +214,8 @@
         Run{daemons, 0}.print("all watch");
         Run{daemons, roots}.print("three roots");
     }
+    std::cout << "daemons   routes    more  force ms  bytes sent, mean and most\n";
+    for (const std::size_t daemons : {60, 630})
+        Run{daemons, roots}.printConfiguration();
     return 0;
 }
--- a/tests/large-change/large_change_test.cpp
+++ b/tests/large-change/large_change_test.cpp
@@ -1,3 +1,4 @@
+#include "support/configuration_text.h"
 #include "support/direct_cluster.h"
 
 #include <boost/random/mersenne_twister.hpp>
@@ -19,25 +20,6 @@
 constexpr std::size_t Daemons = 60;
 constexpr std::size_t Roots = 3;
 
-/// \return A configuration as an operator writes it, some 190 bytes a route; one with more routes
-/// begins with those of one with fewer.
-[[nodiscard]] std::string configuration(std::uint64_t version, std::size_t routes)
-{
-    boost::random::mt19937 random{7};
-    boost::random::uniform_int_distribution<int> byte{0, 255};
-    boost::random::uniform_int_distribution<int> port{1024, 65535};
-    std::string text = std::to_string(version) + " [";
-    for (std::size_t index = 0; index < routes; ++index) {
-        text += R"({"name":"route-)" + std::to_string(byte(random)) + std::to_string(index)
-                + R"(","host":"198.18.)" + std::to_string(byte(random)) + '.'
-                + std::to_string(byte(random)) + R"(","path_prefix":"/)"
-                + std::to_string(port(random))
-                + R"(/","service":"boarding","kind":"idempotent","timeout_ms":4000,)"
-                  R"("target_latency_ms":500,"priority":1,"max_attempts":3},)";
-    }
-    return text + "]";
-}
-
 /// \return What a target writes about itself.
 [[nodiscard]] std::string registration(std::uint64_t target)
 {
@@ -69,7 +51,7 @@
 /// \brief Daemons with the smallest links that hold a configuration of so many routes.
 void settle(DirectCluster &cluster, std::size_t routes)
 {
-    cluster.store.put("routes/main", configuration(9, routes));
+    cluster.store.put("routes/main", configurationText(9, routes));
     cluster.time.run(20s);
     cr_assert_eq(daemonsAt(cluster, 9), Daemons);
     cluster.linkBytesPerSecond = SmallestLink;
@@ -91,9 +73,9 @@
     for (std::uint64_t seed = 1; seed <= 3; ++seed) {
         DirectCluster cluster{Daemons, Roots, seed};
         settle(cluster, 1645);
-        cluster.store.put("routes/main", configuration(11, 3045));
+        cluster.store.put("routes/main", configurationText(11, 3045));
         cluster.time.run(2240ms);
-        cluster.store.put("routes/main", configuration(14, 3046));
+        cluster.store.put("routes/main", configurationText(14, 3046));
         cluster.time.run(InForceWithin - 2240ms);
         cr_assert_eq(daemonsAt(cluster, 11), Daemons, "%zu of %zu, seed %lu",
                      daemonsAt(cluster, 11), Daemons, seed);
@@ -110,7 +92,7 @@
     constexpr std::size_t routes = 5000;
     DirectCluster cluster{Daemons, Roots, 4};
     settle(cluster, routes);
-    cluster.store.put("routes/main", configuration(11, routes + 1));
+    cluster.store.put("routes/main", configurationText(11, routes + 1));
     cluster.time.run(InForceWithin);
     cr_assert_eq(daemonsAt(cluster, 11), Daemons, "%zu of %zu", daemonsAt(cluster, 11), Daemons);
 }
@@ -154,7 +136,7 @@
     DirectCluster cluster{Daemons, Roots, 8};
     settle(cluster, 2000);
     for (std::uint64_t version = first; version <= last; ++version) {
-        cluster.store.put("routes/main", configuration(version, 2000));
+        cluster.store.put("routes/main", configurationText(version, 2000));
         cluster.time.run(80ms);
     }
     cluster.time.run(InForceOfDesign);
