Keep a large value that a complete answer does not change

Symptom: a daemon whose source had listed the store anew lost the routes from its copy and had none to give to others; its own routing went on. Found by reading the change, before any release of it. Cause: an answer with everything named the unchanged routes by a patch from an older value; the daemon had the newer one, passed over the patch, and the complete answer took the routes away. Change: what is known already counts as part of the answer, and an object that is no newer than the question is not patched. Two tests that failed, one for each.

--- a/src/core/directory/patch_cache.cpp
+++ b/src/core/directory/patch_cache.cpp
@@ -31,7 +31,8 @@
 std::optional<ValuePatch> PatchCache::patchOf(const CollectionCopy &copy,
                                               const StoredObject &object, ObjectVersion after)
 {
-    if (object.value.size() < LeastPatchedBytes)
+    // One that is no newer comes in a complete answer: nobody is told which value it replaced.
+    if (object.value.size() < LeastPatchedBytes || object.version <= after)
         return std::nullopt;
     const StoredObject *base = copy.valueAt(object.key, after);
     if (!base)
--- a/src/core/directory/peer_feed.cpp
+++ b/src/core/directory/peer_feed.cpp
@@ -318,8 +318,12 @@
 {
     for (const ValuePatch &patch : answer.patches) {
         const StoredObject *base = m_copy.find(patch.key);
-        if (base && base->version >= patch.version)
-            continue; // Known already, by the store.
+        if (base && base->version >= patch.version) {
+            // Known already, by the store. It is part of the answer all the same: a complete one
+            // takes away what it does not name, and this daemon would have no routes to give.
+            answer.delta.change.written.push_back(*base);
+            continue;
+        }
         if (!base || base->version != patch.base)
             return false;
         auto value = applyPatch(base->value, patch.bytes);
--- a/tests/directory/value_patch_test.cpp
+++ b/tests/directory/value_patch_test.cpp
@@ -49,6 +49,41 @@
     return answer;
 }
 
+/// \brief A feed of the routes whose questions the test answers.
+struct AskedRoutes
+{
+    struct Asked
+    {
+        PeerQuestion question;
+        std::function<void(PeerResult)> done;
+    };
+
+    CollectionCopy copy;
+    std::vector<Asked> asked;
+    PeerFeed feed;
+
+    explicit AskedRoutes(CollectionCopy held)
+        : copy(std::move(held))
+        , feed(
+              "routes/", {}, {Own, "d0"}, ports(), copy, [](const CollectionChange &) {},
+              [](PeerState) {}, [] {})
+    {
+        feed.start({Root});
+    }
+
+    [[nodiscard]] PeerPorts ports()
+    {
+        PeerPorts ports;
+        ports.now = [] { return TimePoint{1h}; };
+        ports.after = [](Duration, const std::function<void()> &) {};
+        ports.ask = [this](const Endpoint &, const PeerQuestion &question, const AskLimits &,
+                           std::function<void(PeerResult)> done) {
+            asked.push_back({question, std::move(done)});
+        };
+        return ports;
+    }
+};
+
 } // namespace
 
 Test(valuePatch, goesWithTheChangeAndNotWithTheValue)
@@ -103,29 +138,43 @@
 Test(patchCache, onePatchThatDoesNotFitIsFollowedByTheWholeValue)
 {
     const CollectionCopy source = copyOf({object(500, 10), object(600, 20)});
-    CollectionCopy copy = copyOf({object(550, 15)});
-    struct Asked
-    {
-        PeerQuestion question;
-        std::function<void(PeerResult)> done;
-    };
-    std::vector<Asked> asked;
-    PeerPorts ports;
-    ports.now = [] { return TimePoint{1h}; };
-    ports.after = [](Duration, const std::function<void()> &) {};
-    ports.ask = [&asked](const Endpoint &, const PeerQuestion &question, const AskLimits &,
-                         std::function<void(PeerResult)> done) {
-        asked.push_back({question, std::move(done)});
-    };
-    PeerFeed feed{"routes/",        {},   {Own, "d0"}, ports, copy, [](const CollectionChange &) {},
-                  [](PeerState) {}, [] {}};
-    feed.start({Root});
-    cr_assert(asked.at(0).question.patches);
-    asked.at(0).done({answerOf(source, 15, true)});
-    cr_assert_eq(copy.version().value(), 15);
-    cr_assert_not(asked.at(1).question.patches);
-    asked.at(1).done({answerOf(source, 15, false)});
-    cr_assert_eq(copy.version().value(), 20);
-    cr_assert(copy.find(Key)->value == table(600));
-    cr_assert(asked.at(2).question.patches);
+    AskedRoutes daemon{copyOf({object(550, 15)})};
+    cr_assert(daemon.asked.at(0).question.patches);
+    daemon.asked.at(0).done({answerOf(source, 15, true)});
+    cr_assert_eq(daemon.copy.version().value(), 15);
+    cr_assert_not(daemon.asked.at(1).question.patches);
+    daemon.asked.at(1).done({answerOf(source, 15, false)});
+    cr_assert_eq(daemon.copy.version().value(), 20);
+    cr_assert(daemon.copy.find(Key)->value == table(600));
+    cr_assert(daemon.asked.at(2).question.patches);
+}
+
+// The source listed the store anew and can't tell what changed since the daemon's version, so that
+// its answer has everything; the routes have not changed. The daemon must keep them: without, it
+// would go on with its old ones for ever and give nobody any.
+Test(patchCache, aLargeValueThatDidNotChangeIsKept)
+{
+    CollectionCopy source = copyOf({object(500, 10), object(600, 20)});
+    (void)source.takeAll({object(600, 20)}, ObjectVersion{200}, false);
+    CollectionCopy held = copyOf({object(500, 10), object(600, 20)});
+    (void)held.takeChanges({{}, {}, ObjectVersion{150}});
+    AskedRoutes daemon{std::move(held)};
+    const PeerAnswer answer = answerOf(source, 150, true);
+    cr_assert(answer.delta.complete);
+    daemon.asked.at(0).done({answer});
+    cr_assert_eq(daemon.copy.version().value(), 200);
+    cr_assert_not_null(daemon.copy.find(Key));
+    cr_assert(daemon.copy.find(Key)->value == table(600));
+}
+
+// The same, and the source's patch leads to a version that the daemon has by the store already.
+Test(patchCache, aPatchOfAVersionThatIsKnownTakesNothingAway)
+{
+    const CollectionCopy source = copyOf({object(500, 10), object(600, 20)});
+    AskedRoutes daemon{copyOf({object(600, 20)})};
+    PeerAnswer answer = answerOf(source, 10, true);
+    answer.delta.complete = true;
+    cr_assert_eq(answer.patches.size(), 1);
+    daemon.asked.at(0).done({answer});
+    cr_assert_not_null(daemon.copy.find(Key));
 }
