--- /dev/null
+++ b/tests/support/records_bench.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "daemon/records/records_client.h"
+#include "daemon/records/records_server.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <criterion/criterion.h>
+
+namespace baobabtrail::test {
+
+using namespace baobabtrail::daemon;
+
+inline constexpr Duration RecordsTimeout = 300ms;
+
+/// \return An address on which nothing listens now.
+[[nodiscard]] inline Endpoint freeAddress()
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor{context, {boost::asio::ip::address_v4::loopback(), 0}};
+    return {0x7f000001, acceptor.local_endpoint().port()};
+}
+
+[[nodiscard]] inline FailureHandler unexpected()
+{
+    return [](const std::string &why) { cr_assert_fail("%s", why.c_str()); };
+}
+
+/// \brief Runs the loop until \a count answers have come.
+inline void runUntil(boost::asio::io_context &context, const std::size_t &count, std::size_t wanted)
+{
+    const auto work = boost::asio::make_work_guard(context);
+    context.restart();
+    while (count < wanted)
+        context.run_one_for(std::chrono::seconds{10});
+}
+
+} // namespace baobabtrail::test
