--- a/tests/support/direct_cluster.h
+++ b/tests/support/direct_cluster.h
@@ -3,6 +3,7 @@
 #include "core/base64.h"
 #include "core/direct/direct_node.h"
 #include "store/client.h"
+#include "support/fake_connections.h"
 #include "support/fake_directory_store.h"
 #include "wire/view_form.h"
 
@@ -49,6 +50,8 @@
         daemon.life = std::make_shared<bool>(true);
         daemon.frozen = false;
         daemon.linkFreeAt = {};
+        daemon.handlesAt = {};
+        daemon.connections = FakeConnections{};
         const std::string domain = "d" + std::to_string(index % 3);
         daemon.node = std::make_unique<DirectNode>(PeerIdentity{addressOf(index), domain},
                                                    m_settings, ports(index), ++m_seed);
@@ -90,6 +93,12 @@
         return {m_daemons[index]->bytes, m_daemons[index]->messages};
     }
 
+    /// \return The connections that others have to this daemon.
+    [[nodiscard]] const FakeConnections &connectionsOf(std::size_t index) const
+    {
+        return m_daemons[index]->connections;
+    }
+
     /// \return Whether the daemon would place a new flow at the target.
     [[nodiscard]] bool places(std::size_t index, std::uint64_t target)
     {
@@ -113,6 +122,8 @@
     std::uint64_t linkBytesPerSecond = 0;
     bool sendsAsWritten = false; ///< Answers pass links as the daemon writes them; it costs time.
     std::set<std::size_t> cutFromPeers; ///< Daemons whose messages to and from others get lost.
+    /// Each daemon's time for one question of another one, which it handles one after the other.
+    Duration handling{0};
 
 private:
     struct Daemon
@@ -124,6 +135,8 @@
         std::uint64_t bytes = 0;    ///< Sent to others.
         std::uint64_t messages = 0; ///< The same.
         TimePoint linkFreeAt{};     ///< What has been asked for until now has passed by then.
+        TimePoint handlesAt{};      ///< The next question that comes.
+        FakeConnections connections;
         std::vector<std::function<void()>> missed;
     };
 
@@ -207,23 +220,27 @@
         if (countBytes)
             countSent(from, wire::toJson(question));
         time.after(Hop, [this, from, to, question, once, begun] {
-            if (!m_daemons[to]->node) {
-                time.after(Hop, [once] { once(std::nullopt); }); // Connection refused.
+            Daemon &asked = *m_daemons[to];
+            if (!asked.node || !asked.connections.begin(from, time.now())) {
+                time.after(Hop, [once] { once(std::nullopt); }); // Refused or closed.
                 return;
             }
-            at(to, [this, from, to, question, once, begun] {
-                m_daemons[to]->node->handle(
-                    question, [this, from, to, once, begun](const PeerReply &reply) {
-                        if (countBytes && reply)
-                            countSent(to, wire::toJson(*reply));
-                        if (cutFromPeers.contains(from) || cutFromPeers.contains(to))
-                            return;
-                        const std::uint64_t size = passingSizeOf(reply);
-                        const Duration passing = std::max(occupy(to, size), occupy(from, size));
-                        time.after(Hop, [begun] { *begun = true; });
-                        time.after(Hop + passing, [once, reply] { once(reply); });
-                    });
-            })();
+            asked.handlesAt = std::max(asked.handlesAt, time.now()) + handling;
+            time.after(
+                asked.handlesAt - time.now(), at(to, [this, from, to, question, once, begun] {
+                    m_daemons[to]->node->handle(
+                        question, [this, from, to, once, begun](const PeerReply &reply) {
+                            m_daemons[to]->connections.end(from, time.now(), true);
+                            if (countBytes && reply)
+                                countSent(to, wire::toJson(*reply));
+                            if (cutFromPeers.contains(from) || cutFromPeers.contains(to))
+                                return;
+                            const std::uint64_t size = passingSizeOf(reply);
+                            const Duration passing = std::max(occupy(to, size), occupy(from, size));
+                            time.after(Hop, [begun] { *begun = true; });
+                            time.after(Hop + passing, [once, reply] { once(reply); });
+                        });
+                }));
         });
     }
 
--- /dev/null
+++ b/tests/support/fake_connections.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <map>
+
+namespace baobabtrail::test {
+
+/// \brief Connections of one daemon's HTTP server, as many as its clients open and keep.
+class FakeConnections
+{
+public:
+    /// Idle connections end after this long, as at the product's server.
+    static constexpr Duration IdleTimeout = 10s;
+
+    /// \param kept Most connections that are served.
+    explicit FakeConnections(std::size_t kept = 64) noexcept
+        : m_kept(kept)
+    {
+    }
+
+    /// \brief A client begins a call. \return Whether the call is taken; else its connection was
+    /// closed without an answer.
+    [[nodiscard]] bool begin(std::size_t client, TimePoint now)
+    {
+        expire(now);
+        Client &known = m_clients[client];
+        if (known.idle > 0) {
+            --known.idle;
+        } else {
+            if (open() >= m_kept) {
+                ++m_refused;
+                return false;
+            }
+        }
+        ++known.busy;
+        m_most = std::max(m_most, open());
+        return true;
+    }
+
+    /// \brief A call has ended. \param keeps The client keeps the connection for another one.
+    void end(std::size_t client, TimePoint now, bool keeps)
+    {
+        Client &known = m_clients[client];
+        --known.busy;
+        known.idle += keeps;
+        known.idleSince = now;
+    }
+
+    [[nodiscard]] std::size_t open() const
+    {
+        std::size_t count = 0;
+        for (const auto &[client, known] : m_clients)
+            count += known.busy + known.idle;
+        return count;
+    }
+    /// \return Most that were open at once.
+    [[nodiscard]] std::size_t most() const noexcept { return m_most; }
+    /// \return Calls whose connections were closed without an answer.
+    [[nodiscard]] std::size_t refused() const noexcept { return m_refused; }
+
+private:
+    struct Client
+    {
+        std::size_t busy = 0;
+        std::size_t idle = 0;
+        TimePoint idleSince{};
+    };
+
+    void expire(TimePoint now)
+    {
+        for (auto &[client, known] : m_clients) {
+            if (now - known.idleSince > IdleTimeout)
+                known.idle = 0;
+        }
+    }
+
+    std::size_t m_kept;
+    std::size_t m_most = 0;
+    std::size_t m_refused = 0;
+    std::map<std::size_t, Client> m_clients;
+};
+
+} // namespace baobabtrail::test
--- a/tests/support/fake_directory_store.h
+++ b/tests/support/fake_directory_store.h
@@ -48,6 +48,8 @@
     [[nodiscard]] std::uint64_t revision() const noexcept { return m_revision; }
     [[nodiscard]] std::uint64_t calls() const noexcept { return m_calls; }
 
+    std::size_t pageObjects = 500; ///< Most objects that a list gives at once.
+
     // Faults.
 
     bool down = false;     ///< Calls end with a failure at once.
@@ -115,7 +117,7 @@
             for (const auto &[key, object] : m_objects) {
                 if (!key.starts_with(list->prefix) || key <= list->after)
                     continue;
-                out.more = out.objects.size() == list->limit;
+                out.more = out.objects.size() == std::min<std::size_t>(list->limit, pageObjects);
                 if (out.more)
                     break;
                 out.objects.push_back(object);
