Answer every request of other daemons, also beyond the connections that are kept

Cause: the HTTP server closed each connection beyond 64 as soon as it took it. A bound of places (which answers and sends on) and one of connections (which did not) stood beside each other, and the second one struck first. Ruled out: a larger constant; it is the same cliff at more daemons. Change: beyond the kept ones a connection gets one answer and ends; beyond a quarter of the process's descriptors new ones stay in the listen queue until one ends. A reply may end its connection, so that one that is sent on holds nothing.

--- a/src/daemon/admin/http_server.cpp
+++ b/src/daemon/admin/http_server.cpp
@@ -10,8 +10,12 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <optional>
 #include <stdexcept>
+#include <utility>
 
 namespace baobabtrail::daemon {
 
@@ -23,22 +27,56 @@
 namespace {
 
 constexpr std::uint32_t MostHeaderBytes = 8192;
+/// Share of the process's file descriptors that connections of one server may use; the others are
+/// for targets, callers and the store.
+constexpr std::size_t DescriptorShare = 4;
+/// Where the limit can't be read.
+constexpr std::size_t UsualDescriptors = 1024;
+/// Longest wait for the request of a connection that is taken for one only: others wait for it.
+constexpr Duration OnceTimeout = 1s;
+
+[[nodiscard]] std::size_t mostDescriptors() noexcept
+{
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
+        return UsualDescriptors;
+    return limit.rlim_cur;
+}
+
+} // namespace
+
+/// \brief What a server and its connections share.
+struct HttpServerState
+{
+    AdministrationSettings settings;
+    HttpServer::Handle handle;
+    HttpConnections connections;
+    std::size_t mostAtOnce = 0;
+    /// Goes on accepting, where that was put off until a connection ends.
+    std::function<void()> resume{};
+
+    void ended()
+    {
+        --connections.open;
+        if (const auto accept = std::exchange(resume, nullptr))
+            accept();
+    }
+};
+
+namespace {
 
 /// \brief One connection of a client.
 class HttpSession : public std::enable_shared_from_this<HttpSession>
 {
 public:
-    HttpSession(tcp::socket socket, const AdministrationSettings &settings,
-                std::shared_ptr<const HttpServer::Handle> handle,
-                std::shared_ptr<std::size_t> connections)
+    /// \param once It ends with its first reply.
+    HttpSession(tcp::socket socket, std::shared_ptr<HttpServerState> state, bool once)
         : m_stream(std::move(socket))
-        , m_settings(settings)
-        , m_handle(std::move(handle))
-        , m_connections(std::move(connections))
+        , m_state(std::move(state))
+        , m_once(once)
     {
-        ++*m_connections;
     }
-    ~HttpSession() { --*m_connections; }
+    ~HttpSession() { m_state->ended(); }
     HttpSession(const HttpSession &) = delete;
     HttpSession &operator=(const HttpSession &) = delete;
 
@@ -46,8 +84,8 @@
     {
         m_parser.emplace();
         m_parser->header_limit(MostHeaderBytes);
-        m_parser->body_limit(m_settings.maxBodyBytes);
-        m_stream.expires_after(m_settings.timeout);
+        m_parser->body_limit(m_state->settings.maxBodyBytes);
+        m_stream.expires_after(m_once ? std::min(OnceTimeout, timeout()) : timeout());
         http::async_read(
             m_stream, m_buffer, *m_parser,
             [self = shared_from_this()](error_code error, std::size_t) { self->taken(error); });
@@ -66,21 +104,22 @@
         // The handler may take its time, as "wait" does; the client's own timeout ends that.
         m_stream.expires_never();
         const auto message = m_parser->release();
-        m_keepAlive = message.keep_alive();
+        m_keepAlive = message.keep_alive() && !m_once;
         const auto authorization = message[http::field::authorization];
         const auto accepted = message[http::field::accept_encoding];
-        (*m_handle)({std::string{message.method_string()}, std::string{message.target()},
-                     std::string{authorization}, std::string{accepted}, message.body()},
-                    [self = shared_from_this()](HttpReply answer) {
-                        boost::asio::post(self->m_stream.get_executor(),
-                                          [self, answer = std::move(answer)]() mutable {
-                                              self->reply(std::move(answer));
-                                          });
-                    });
+        m_state->handle({std::string{message.method_string()}, std::string{message.target()},
+                         std::string{authorization}, std::string{accepted}, message.body()},
+                        [self = shared_from_this()](HttpReply answer) {
+                            boost::asio::post(self->m_stream.get_executor(),
+                                              [self, answer = std::move(answer)]() mutable {
+                                                  self->reply(std::move(answer));
+                                              });
+                        });
     }
 
     void reply(HttpReply answer)
     {
+        m_keepAlive = m_keepAlive && !answer.closes;
         m_response = {};
         m_response.version(11);
         m_response.result(answer.status);
@@ -92,7 +131,7 @@
         m_response.keep_alive(m_keepAlive);
         m_response.body() = std::move(answer.body);
         m_response.prepare_payload();
-        m_stream.expires_after(m_settings.timeout);
+        m_stream.expires_after(timeout());
         http::async_write(
             m_stream, m_response,
             [self = shared_from_this()](error_code error, std::size_t) { self->replied(error); });
@@ -110,10 +149,11 @@
         m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     }
 
+    [[nodiscard]] Duration timeout() const noexcept { return m_state->settings.timeout; }
+
     beast::tcp_stream m_stream;
-    AdministrationSettings m_settings;
-    std::shared_ptr<const HttpServer::Handle> m_handle;
-    std::shared_ptr<std::size_t> m_connections;
+    std::shared_ptr<HttpServerState> m_state;
+    bool m_once;
     beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
     http::response<http::string_body> m_response;
@@ -125,10 +165,12 @@
 HttpServer::HttpServer(boost::asio::io_context &context, const Endpoint &local,
                        const AdministrationSettings &settings, Handle handle, FailureHandler failed)
     : m_acceptor(context)
-    , m_settings(settings)
-    , m_handle(std::make_shared<const Handle>(std::move(handle)))
     , m_failed(std::move(failed))
+    , m_state(std::make_shared<HttpServerState>())
 {
+    m_state->settings = settings;
+    m_state->handle = std::move(handle);
+    m_state->mostAtOnce = std::max(settings.maxConnections, mostDescriptors() / DescriptorShare);
     try {
         m_acceptor.open(tcp::v4());
         m_acceptor.set_option(tcp::acceptor::reuse_address(true));
@@ -140,25 +182,39 @@
     accept();
 }
 
-HttpServer::~HttpServer() = default;
+HttpServer::~HttpServer()
+{
+    m_state->resume = nullptr;
+}
+
+const HttpConnections &HttpServer::connections() const noexcept
+{
+    return m_state->connections;
+}
 
 void HttpServer::accept()
 {
-    m_acceptor.async_accept([this, alive = std::weak_ptr{m_alive}](error_code error,
-                                                                   tcp::socket socket) {
-        if (alive.expired())
-            return;
-        if (error) {
-            m_failed(error.message());
-            return;
-        }
-        // Beyond the bound a connection is closed at once: waiting ones would use up the
-        // process's file descriptors, which connections to targets need.
-        if (*m_connections < m_settings.maxConnections)
-            std::make_shared<HttpSession>(std::move(socket), m_settings, m_handle, m_connections)
-                ->read();
-        accept();
-    });
+    HttpConnections &connections = m_state->connections;
+    if (connections.open >= m_state->mostAtOnce) {
+        ++connections.postponed;
+        m_state->resume = [this] { accept(); };
+        return;
+    }
+    m_acceptor.async_accept(
+        [this, alive = std::weak_ptr{m_alive}](error_code error, tcp::socket socket) {
+            if (alive.expired())
+                return;
+            if (error) {
+                m_failed(error.message());
+                return;
+            }
+            HttpConnections &known = m_state->connections;
+            const bool once = ++known.open > m_state->settings.maxConnections;
+            known.once += once;
+            known.most = std::max(known.most, known.open);
+            std::make_shared<HttpSession>(std::move(socket), m_state, once)->read();
+            accept();
+        });
 }
 
 } // namespace baobabtrail::daemon
--- a/src/daemon/admin/http_server.h
+++ b/src/daemon/admin/http_server.h
@@ -29,9 +29,26 @@
     std::string contentType = "application/json";
     std::string body;
     std::string contentEncoding{}; ///< Of the body; empty for none.
+    bool closes = false;           ///< The connection ends with this reply.
 };
 
+/// \brief Connections of an HttpServer, now and so far.
+struct HttpConnections
+{
+    std::size_t open = 0;
+    std::size_t most = 0;        ///< That were open at once.
+    std::uint64_t once = 0;      ///< Ended after one reply, since enough others were kept.
+    std::uint64_t postponed = 0; ///< Times that a new one had to wait for another's end.
+};
+
+struct HttpServerState;
+
 /// \brief Takes HTTP requests on one address and hands them to a handler.
+///
+/// Every request is answered: beyond the connections that are kept, others are taken for one
+/// request each, up to a share of the process's file descriptors; further ones wait until one of
+/// them ends. A connection that is closed without a word tells its client nothing, and it comes
+/// again at once.
 class HttpServer
 {
 public:
@@ -46,15 +63,16 @@
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
 
+    [[nodiscard]] const HttpConnections &connections() const noexcept;
+
 private:
     void accept();
 
     boost::asio::ip::tcp::acceptor m_acceptor;
-    AdministrationSettings m_settings;
-    std::shared_ptr<const Handle> m_handle;
     FailureHandler m_failed;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
-    std::shared_ptr<std::size_t> m_connections = std::make_shared<std::size_t>(0);
+    std::shared_ptr<HttpServerState>
+        m_state; ///< Shared with the connections, which may outlive the server.
 };
 
 } // namespace baobabtrail::daemon
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -36,6 +36,9 @@
     /// From the call until the response begins, and longest pause within it afterwards, up to 0.8
     /// s. A link that is thin or full makes a large response slow; it would be as slow elsewhere.
     Duration timeout{0};
+    /// Until the server's machine takes a new connection; 0 for the timeout. One that is dark or
+    /// cut off never does, one that is busy does at once.
+    Duration connectTimeout{0};
     /// From the call to the end of the response; 0 where it has to be whole within the timeout.
     Duration longest{0};
     std::uint64_t mostBytes = 0; ///< Of the response's body; 0 for a bound that none should meet.
--- /dev/null
+++ b/tests/daemon/http_server_test.cpp
@@ -0,0 +1,140 @@
+#include "daemon/admin/http_server.h"
+
+#include "net/http_client.h"
+#include "support/free_ports.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <criterion/criterion.h>
+
+#include <sys/resource.h>
+
+#include <memory>
+#include <utility>
+#include <vector>
+
+using namespace baobabtrail;
+using namespace baobabtrail::daemon;
+using namespace baobabtrail::test;
+
+namespace {
+
+constexpr std::size_t Kept = 2;
+
+/// \brief A server that answers when it is told to, and clients with a connection each.
+struct AskedServer
+{
+    boost::asio::io_context context{1};
+    Endpoint address{0x7F000001U, freePorts(1).front()};
+    std::vector<HttpServer::Respond> waiting;
+    std::vector<std::unique_ptr<HttpClient>> clients;
+    std::vector<HttpResult> results;
+    HttpServer server;
+
+    explicit AskedServer(bool closes = false)
+        : server(
+            context, address, settings(),
+            [this, closes](const HttpRequest &, HttpServer::Respond respond) {
+                waiting.push_back([respond = std::move(respond), closes](HttpReply reply) {
+                    reply.closes = closes;
+                    respond(std::move(reply));
+                });
+            },
+            [](const std::string &) {})
+    {
+    }
+
+    [[nodiscard]] static AdministrationSettings settings()
+    {
+        AdministrationSettings settings;
+        settings.maxConnections = Kept;
+        return settings;
+    }
+
+    void ask(std::size_t count)
+    {
+        for (std::size_t index = 0; index < count; ++index) {
+            clients.push_back(std::make_unique<HttpClient>(context));
+            HttpCall call;
+            call.server = address;
+            call.request = {boost::beast::http::verb::get, "/", 11};
+            call.request.keep_alive(true);
+            call.timeout = 10s;
+            clients.back()->call(std::move(call), [this](HttpResult result) {
+                results.push_back(std::move(result));
+            });
+        }
+    }
+
+    void reply()
+    {
+        for (const HttpServer::Respond &respond : std::exchange(waiting, {}))
+            respond({200, "text/plain", "ok"});
+    }
+
+    template <typename Until>
+    void run(Until until)
+    {
+        while (!until() && context.run_one() > 0) {
+        }
+    }
+};
+
+[[nodiscard]] std::size_t answered(const std::vector<HttpResult> &results)
+{
+    std::size_t count = 0;
+    for (const HttpResult &result : results)
+        count += std::holds_alternative<HttpClientResponse>(result);
+    return count;
+}
+
+} // namespace
+
+// More clients come than connections are kept. A connection that is closed without a word tells its
+// client nothing: every one of them has to get its answer, and the last ones give theirs up then.
+Test(httpServer, answersBeyondTheConnectionsThatAreKept)
+{
+    constexpr std::size_t clients = 20;
+    AskedServer rig;
+    rig.ask(clients);
+    rig.run([&] { return rig.waiting.size() == clients; });
+    rig.reply();
+    rig.run([&] { return rig.results.size() == clients; });
+    cr_assert_eq(answered(rig.results), clients);
+    rig.run([&] { return rig.server.connections().open == Kept; });
+    cr_assert_eq(rig.server.connections().once, clients - Kept);
+    cr_assert_eq(rig.server.connections().most, clients);
+}
+
+// More clients come than the process has file descriptors for. The last ones are taken once others
+// have ended; taken at once, they would use up what connections to targets need.
+Test(httpServer, postponesConnectionsBeyondItsShareOfDescriptors)
+{
+    constexpr rlim_t descriptors = 64;
+    constexpr std::size_t share = 16;
+    constexpr std::size_t clients = 20;
+    const rlimit limit{descriptors, descriptors};
+    cr_assert_eq(setrlimit(RLIMIT_NOFILE, &limit), 0);
+    AskedServer rig;
+    rig.ask(clients);
+    rig.run([&] { return rig.waiting.size() == share; });
+    cr_assert_eq(rig.server.connections().open, share);
+    cr_assert_geq(rig.server.connections().postponed, 1);
+    rig.run([&] {
+        rig.reply();
+        return rig.results.size() == clients;
+    });
+    cr_assert_eq(answered(rig.results), clients);
+    cr_assert_eq(rig.server.connections().most, share);
+}
+
+// A client that is sent elsewhere does not come again: its connection would take up a place.
+Test(httpServer, endsTheConnectionOfOneThatIsSentOn)
+{
+    AskedServer rig{true};
+    rig.ask(1);
+    rig.run([&] { return rig.waiting.size() == 1; });
+    rig.reply();
+    rig.run([&] { return rig.results.size() == 1 && rig.server.connections().open == 0; });
+    cr_assert_eq(answered(rig.results), 1);
+}
