Take all pages of a list but the first from reads that may be old

Cause: each page is a dear call, linearizable by itself, though the list as a whole only holds from its oldest page on. Change: pages behind the first may be seconds old, at a tenth of the price. A watch from the oldest page's version, which ends at once, then brings what they lack, and only then the list is taken; where that history is gone, the list is made anew with dear pages. Ruled out: an old first page; collections of one page would pay a watch on top.

--- a/src/core/directory/store_feed.cpp
+++ b/src/core/directory/store_feed.cpp
@@ -16,6 +16,21 @@
 /// many times the values of the copy, what a list brings with what the store says around them.
 constexpr std::uint64_t WatchBytes = 64 << 10;
 constexpr std::uint64_t WatchShare = 2;
+/// Wait of a watch that settles a list, or confirms a copy: the shortest that the store takes.
+constexpr Duration ConfirmWait = 1ms;
+
+/// \brief Brings listed objects to the state that a watch from their version tells.
+void apply(const ObjectList &news, std::vector<StoredObject> &listed)
+{
+    const auto known = [&](const StoredObject &object) {
+        const auto same = [&](const StoredObject &each) { return each.key == object.key; };
+        return std::any_of(news.objects.begin(), news.objects.end(), same)
+               || std::find(news.removed.begin(), news.removed.end(), object.key)
+                      != news.removed.end();
+    };
+    std::erase_if(listed, known);
+    listed.insert(listed.end(), news.objects.begin(), news.objects.end());
+}
 
 } // namespace
 
@@ -39,6 +54,7 @@
     m_backoff = seldom ? Backoff{m_settings.firstSeldomRetry, m_settings.mostSeldomRetry}
                        : Backoff{m_settings.firstRetry, m_settings.mostRetry};
     m_running = true;
+    m_confirms = true;
     if (m_copy.complete())
         watch();
     else
@@ -49,6 +65,7 @@
 {
     ++*m_run;
     m_pages.clear();
+    m_dear = false;
     m_running = false;
 }
 
@@ -72,10 +89,14 @@
     });
 }
 
+// The first page is never old: most collections have no other one, and then need no watch to be
+// true.
 void StoreFeed::list()
 {
-    const std::string after = m_pages.empty() ? m_prefix : m_pages.back().key;
-    call(ListObjects{m_prefix, after, PageObjects}, &StoreFeed::onPage);
+    ListObjects request{m_prefix, m_pages.empty() ? m_prefix : m_pages.back().key, PageObjects};
+    request.mayBeOld = !m_pages.empty() && !m_dear;
+    m_pagesMayBeOld = request.mayBeOld;
+    call(request, &StoreFeed::onPage);
 }
 
 void StoreFeed::onPage(TimePoint asked, PlatformResult result)
@@ -89,27 +110,59 @@
     }
     m_pageCame = true;
     m_pageBackoff.reset();
-    // Changes made while the pages are read come with the watch: it begins at the first page.
-    if (m_pages.empty())
-        m_pagesVersion = page->latest;
+    // Changes made while the pages are read come with the watch: it begins at the oldest page.
+    m_pagesVersion = m_pages.empty() ? page->latest : std::min(m_pagesVersion, page->latest);
     std::move(page->objects.begin(), page->objects.end(), std::back_inserter(m_pages));
     if (page->more && !page->objects.empty()) {
         list();
         return;
     }
+    if (m_pagesMayBeOld)
+        settle();
+    else
+        takeList(asked);
+}
+
+void StoreFeed::settle()
+{
+    call(WatchObjects{m_prefix, m_pagesVersion, ConfirmWait}, &StoreFeed::onSettled);
+}
+
+void StoreFeed::onSettled(TimePoint asked, PlatformResult result)
+{
+    if (std::holds_alternative<HistoryGone>(result)) {
+        listDear();
+        return;
+    }
+    const auto *news = std::get_if<ObjectList>(&result);
+    if (!news) {
+        failed(result, m_pageBackoff, &StoreFeed::settle);
+        return;
+    }
+    apply(*news, m_pages);
+    m_pagesVersion = news->latest;
     takeList(asked);
 }
 
+void StoreFeed::listDear()
+{
+    m_pages.clear();
+    m_dear = true;
+    list();
+}
+
 void StoreFeed::takeList(TimePoint asked)
 {
     succeeded();
     const std::vector<StoredObject> listed = std::exchange(m_pages, {});
+    m_dear = false;
     if (m_pagesVersion < m_copy.version()) {
         // A peer was faster, or the answer is older than what is in force.
         m_contact(FeedContact{});
         later(m_backoff.next(m_random, Duration{0}), &StoreFeed::list);
         return;
     }
+    m_confirms = false;
     if (const auto change = m_copy.takeAll(listed, m_pagesVersion, justBack()))
         m_changed(*change);
     m_copy.confirm(asked);
@@ -120,11 +173,13 @@
 // A watch tells each version of an object, and over a thin link more of them come about while one
 // answer passes than it brings: with 2,000 routes written twelve times a second for four seconds,
 // no daemon had the last version ten seconds later. A list has the newest version of each object
-// only, so that it is asked for where a watch would bring more.
+// only, so that it is asked for where a watch would bring more. The first watch ends at once: those
+// that have their copies from here wait for the word that they are true again.
 void StoreFeed::watch()
 {
     const std::uint64_t most = WatchBytes + WatchShare * m_copy.bytes();
-    call(WatchObjects{m_prefix, m_copy.version(), m_settings.watchWait, most}, &StoreFeed::onWatch);
+    const Duration wait = m_confirms ? ConfirmWait : m_settings.watchWait;
+    call(WatchObjects{m_prefix, m_copy.version(), wait, most}, &StoreFeed::onWatch);
 }
 
 void StoreFeed::onWatch(TimePoint asked, PlatformResult result)
@@ -147,6 +202,7 @@
         return;
     }
     succeeded();
+    const bool confirmed = std::exchange(m_confirms, false);
     const bool changed = !list->objects.empty() || !list->removed.empty();
     const ObjectVersion version = std::max(list->latest, m_copy.version());
     if (const auto change = m_copy.takeChanges(
@@ -154,7 +210,7 @@
         m_changed(*change);
     m_copy.confirm(m_ports.now());
     m_contact(FeedContact{});
-    const bool tooShort = m_ports.now() - asked < ShortestWatch;
+    const bool tooShort = !confirmed && m_ports.now() - asked < ShortestWatch;
     if (changed || tooShort)
         later(m_settings.gather, &StoreFeed::watch);
     else
--- a/src/core/directory/store_feed.h
+++ b/src/core/directory/store_feed.h
@@ -54,7 +54,9 @@
 
 /// \brief Keeps a copy of a collection up to date from the store: lists it once, then watches.
 ///
-/// When the store is away the last copy stays in force.
+/// Of a list with several pages all but the first may be seconds old, which is cheap; a watch from
+/// the oldest page's version then brings what they lack, before the list is taken. When the store
+/// is away the last copy stays in force.
 class StoreFeed
 {
 public:
@@ -78,6 +80,11 @@
 private:
     void list();
     void onPage(TimePoint asked, PlatformResult result);
+    /// \brief Asks for what changed since the pages of the list.
+    void settle();
+    void onSettled(TimePoint asked, PlatformResult result);
+    /// \brief Begins anew with pages that are not old.
+    void listDear();
     void takeList(TimePoint asked);
     void watch();
     void onWatch(TimePoint asked, PlatformResult result);
@@ -98,7 +105,10 @@
     Backoff m_pageBackoff; ///< Between tries of one page, where those before it came.
 
     std::vector<StoredObject> m_pages;    ///< Of the list that is under way.
-    ObjectVersion m_pagesVersion;         ///< Of its first page.
+    ObjectVersion m_pagesVersion;         ///< Of its oldest page.
+    bool m_pagesMayBeOld = false;         ///< One of them.
+    bool m_dear = false;                  ///< No page of this list may be old.
+    bool m_confirms = false;              ///< The next watch only confirms the copy.
     std::optional<TimePoint> m_backSince; ///< First success after the last failure.
     bool m_pageCame = false;              ///< Since the last failure.
     bool m_away = false;
--- a/src/core/messages/platform.h
+++ b/src/core/messages/platform.h
@@ -51,6 +51,8 @@
     std::string prefix;
     std::string after; ///< Only keys behind this one.
     std::uint32_t limit = 100;
+    /// The answer may be seconds old, and costs the store a fraction of one that may not.
+    bool mayBeOld = false;
 };
 /// \brief Waits until an object below \a prefix is newer than \a after, or \a wait is over.
 struct WatchObjects
--- a/tests/support/fake_directory_store.h
+++ b/tests/support/fake_directory_store.h
@@ -47,6 +47,8 @@
     [[nodiscard]] bool has(const std::string &key) const { return m_objects.contains(key); }
     [[nodiscard]] std::uint64_t revision() const noexcept { return m_revision; }
     [[nodiscard]] std::uint64_t calls() const noexcept { return m_calls; }
+    /// \return Of these, the ones whose answers might be old; they cost a tenth.
+    [[nodiscard]] std::uint64_t cheapCalls() const noexcept { return m_cheapCalls; }
 
     std::size_t pageObjects = 500; ///< Most objects that a list gives at once.
 
@@ -57,6 +59,13 @@
     std::set<int> refused; ///< Callers that get a failure, while others are served.
     std::set<int> cut;     ///< Callers whose calls get lost.
 
+    /// \brief Answers that may be old are of this moment from now on.
+    void lag()
+    {
+        m_oldObjects = m_objects;
+        m_oldRevision = m_revision;
+        m_lags = true;
+    }
     /// \brief Watches hear nothing from now on.
     void deafen() { m_deaf = true; }
     /// \brief Drops the history and, without a word, the watches that waited.
@@ -71,6 +80,8 @@
     void call(int caller, const PlatformRequest &request, Done done)
     {
         ++m_calls;
+        const auto *list = std::get_if<ListObjects>(&request);
+        m_cheapCalls += list && list->mayBeOld;
         if (cut.contains(caller) || silent) {
             const auto *watch = std::get_if<WatchObjects>(&request);
             const Duration wait = CallTimeout + (watch ? watch->wait : Duration{0});
@@ -112,9 +123,10 @@
     void serve(int caller, const PlatformRequest &request, const Done &done)
     {
         if (const auto *list = std::get_if<ListObjects>(&request)) {
+            const bool old = list->mayBeOld && m_lags;
             ObjectList out;
-            out.latest = ObjectVersion{m_revision};
-            for (const auto &[key, object] : m_objects) {
+            out.latest = ObjectVersion{old ? m_oldRevision : m_revision};
+            for (const auto &[key, object] : old ? m_oldObjects : m_objects) {
                 if (!key.starts_with(list->prefix) || key <= list->after)
                     continue;
                 out.more = out.objects.size() == std::min<std::size_t>(list->limit, pageObjects);
@@ -213,6 +225,10 @@
     std::uint64_t m_forgotten = 0;
     std::uint64_t m_lastWatch = 0;
     std::uint64_t m_calls = 0;
+    std::uint64_t m_cheapCalls = 0;
+    std::map<std::string, StoredObject> m_oldObjects;
+    std::uint64_t m_oldRevision = 0;
+    bool m_lags = false;
     bool m_deaf = false;
 };
 
