Show how a daemon's view reaches it

Symptom: an operator who finds old routes on a daemon sees neither where it has them from nor why they are old; who turns others away is told nowhere.

--- a/src/daemon/direct/direct_tables.cpp
+++ b/src/daemon/direct/direct_tables.cpp
@@ -135,6 +135,46 @@
     return result;
 }
 
+/// \return Why the daemon's view may be old.
+[[nodiscard]] std::string lateWhy(const DirectNode &node)
+{
+    if (node.fresh())
+        return NotKnown;
+    if (!node.ready())
+        return "has no complete view yet";
+    switch (node.peers().state()) {
+    case PeerState::Waiting:
+        return "its source waits for the store";
+    case PeerState::Stale:
+        return "nobody that it reaches hears the store";
+    case PeerState::Lost:
+        return "no daemon answers it";
+    case PeerState::Fresh:
+        break;
+    }
+    return "no answer for a while";
+}
+
+[[nodiscard]] Result distributionTable(const DirectBackend &backend)
+{
+    Result result;
+    result.columns = {"collection", "revision",  "objects", "age-ms", "from",
+                      "depth",      "followers", "sent-on", "late"};
+    const DirectNode &node = *backend.node;
+    const PeerFeed &peers = node.peers();
+    for (const DirectNode::CollectionStatus &each : node.collections()) {
+        const std::string source
+            = peers.source().isNull() ? std::string{NotKnown} : toString(peers.source());
+        const std::size_t depth = each.byStore ? 0 : peers.lineage().path.size();
+        result.rows.push_back({std::string{each.name}, text(each.version.value()),
+                               text(each.objects), each.age ? milliseconds(*each.age) : NotKnown,
+                               each.byStore ? "store" : source, text(depth),
+                               text(node.relay().followers()), text(node.relay().sentOn()),
+                               lateWhy(node)});
+    }
+    return result;
+}
+
 [[nodiscard]] Result tableOf(const DirectBackend &backend, language::Table table)
 {
     switch (table) {
@@ -146,6 +186,8 @@
         return targetsTable(backend, true);
     case language::Table::Daemons:
         return daemonsTable(backend);
+    case language::Table::Distribution:
+        return distributionTable(backend);
     case language::Table::Changes:
         break;
     }
--- a/src/daemon/direct/direct_tables.h
+++ b/src/daemon/direct/direct_tables.h
@@ -27,6 +27,7 @@
 /// | show targets, show drains | targets with the inputs of their choice; those that leave |
 /// | show services | services with their routes and targets |
 /// | show daemons, show revision | this daemon and its view; the roots that it knows |
+/// | show distribution | each collection: where it comes from, how old it is, and why |
 /// | show metrics, help | |
 [[nodiscard]] language::Result executeDirect(const DirectBackend &backend, const std::string &text);
 
--- a/src/language/parse.cpp
+++ b/src/language/parse.cpp
@@ -210,11 +210,9 @@
     {"tenant", "tenant"}, {"service", "service"},   {"target", "target"},
     {"domain", "domain"}, {"state", "state"},       {"daemon", "daemon"},
     {"author", "author"}, {"revision", "revision"}, {"change", "change"}};
-const Words<Table> Tables{{"services", Table::Services},
-                          {"targets", Table::Targets},
-                          {"daemons", Table::Daemons},
-                          {"changes", Table::Changes},
-                          {"drains", Table::Drains}};
+const Words<Table> Tables{{"services", Table::Services}, {"targets", Table::Targets},
+                          {"daemons", Table::Daemons},   {"changes", Table::Changes},
+                          {"drains", Table::Drains},     {"distribution", Table::Distribution}};
 const Words<bool> Relations{{"=", false}, {"!=", true}};
 
 const x3::rule<struct ColumnRule, std::string> Column{"a column"};
@@ -234,7 +232,7 @@
 const auto TableWord_def = x3::lexeme[Tables >> !WordLetter];
 
 const x3::rule<struct ShowObjectRule, Statement> ShowObject{
-    "services, targets, daemons, changes, drains, revision, change ID or "
+    "services, targets, daemons, changes, drains, distribution, revision, change ID or "
     "metrics"};
 const auto ShowObject_def
     = (TableWord > Filters)[MakeOfTwo<Show>] | keyword("revision")[MakeEmpty<ShowRevision>]
@@ -329,6 +327,7 @@
     return R"(Queries:
   show services [where COLUMN = VALUE and COLUMN != VALUE ...]
   show targets | daemons | changes | drains [where ...]
+  show distribution        where the daemon has its routes and targets from, and how old they are
   show revision            which revision is in force on which daemon
   show change ID           whether a change was accepted, and where it is in force
   show metrics
--- a/src/language/statement.h
+++ b/src/language/statement.h
@@ -10,7 +10,7 @@
 
 namespace baobabtrail::language {
 
-enum class Table { Services, Targets, Daemons, Changes, Drains };
+enum class Table { Services, Targets, Daemons, Changes, Drains, Distribution };
 
 /// \brief Keeps the rows whose column has, or has not, a value.
 struct Filter
--- a/tests/explain/tables_test.cpp
+++ b/tests/explain/tables_test.cpp
@@ -74,6 +74,18 @@
     cr_assert(asked.execute("show metrics").messages.at(0) == "page");
 }
 
+Test(directTables, showsHowItsViewReachesIt)
+{
+    const Asked asked;
+    const Result result = asked.execute("show distribution");
+    cr_assert_eq(result.rows.size(), 2, "routes and targets");
+    cr_assert(cell(result, 0, "collection") == "routes");
+    cr_assert(cell(result, 1, "objects") == "2");
+    cr_assert(cell(result, 0, "from") == "10.1.0.1:9000", "%s", cell(result, 0, "from").c_str());
+    cr_assert(cell(result, 0, "depth") == "1");
+    cr_assert(cell(result, 0, "late") == "-");
+}
+
 // Operators who know the product's own commands try one here; the daemon must not seem to do it.
 Test(directTables, refusesCommandsAndSaysWhereTheyBelong)
 {
