Don't ask a full source of the own failure domain again and again

Symptom: in virtual time at 300 daemons the busiest root was asked 16.5 times a second and sent 4,540 bytes a second, of 2,000 that control may cost. Cause: a daemon with a source in another domain asked its own domain's root again 10 s after it had been sent on; two thirds of all daemons did. Change: five minutes. Who loses its source asks there at once all the same. The new test fails with 10 s.

--- a/src/core/directory/source_list.cpp
+++ b/src/core/directory/source_list.cpp
@@ -8,9 +8,9 @@
 
 /// Sources that other daemons have named are kept up to this many; the oldest goes first.
 constexpr std::size_t MostSources = 12;
-/// A source of the own failure domain that had no place is not preferred for so long: asked again
-/// each second, by each daemon that has found a place elsewhere, it would do little else.
-constexpr Duration SentOnFor = 10s;
+/// A source of the own failure domain that had no place is not preferred for so long: hundreds that
+/// have found places elsewhere would ask its root again and again.
+constexpr Duration SentOnFor = 5min;
 
 } // namespace
 
--- a/tests/directory/start_test.cpp
+++ b/tests/directory/start_test.cpp
@@ -17,6 +17,10 @@
 constexpr Duration StartSpread = 300ms;
 /// One question on a connection of its own, on a VM with 0.038 of a core.
 constexpr Duration Handling = 2ms;
+/// What control may cost a daemon's link, in bytes a second.
+constexpr std::uint64_t ControlBytes = 2000;
+/// Of each message on top of its body: heads of HTTP, TCP and IP, and half an acknowledgement.
+constexpr std::uint64_t HeadBytes = 142;
 /// From the loss of power of a VM to its next start.
 constexpr Duration DarkTime = 2s;
 /// Within which a daemon that has started again serves.
@@ -145,6 +149,22 @@
     expectTreeForms(1000);
 }
 
+// Daemons that found their places in another failure domain asked the root of their own each second
+// whether it had one by now: a root sent more than control may cost.
+Test(start, aQuietTreeKeepsToItsShareOfTheLinks)
+{
+    constexpr std::uint64_t seconds = 15;
+    Fleet fleet{630, 3s};
+    fleet.start(fleet.daemons());
+    fleet.cluster.time.run(20s);
+    fleet.cluster.countBytes = true;
+    fleet.cluster.time.run(std::chrono::seconds{seconds});
+    for (std::size_t index = 0; index < fleet.cluster.size(); ++index) {
+        const auto [bytes, messages] = fleet.cluster.sentBy(index);
+        cr_expect_leq(bytes + messages * HeadBytes, seconds * ControlBytes, "daemon %zu", index);
+    }
+}
+
 // All daemons of a system that runs are killed, and callers wait. Each asks the store, whose way is
 // wide, rather than wait for a tree to form; most pages may be old, and are cheap.
 Test(start, allThatWereKilledServeSoon)
