--- a/src/core/directory/patch_cache.h
+++ b/src/core/directory/patch_cache.h
@@ -9,8 +9,8 @@
 
 /// \brief Patches of large objects for daemons whose copies lag, each made once.
 ///
-/// A change of one route sent every daemon all routes: 590 KB, four times over at each daemon that
-/// answers others, where its link carries 1,250 KB a second. As a patch it is a few hundred bytes.
+/// All routes are one object. Sent whole, a change of one route fills the thin links of daemons
+/// that answer others.
 class PatchCache
 {
 public:
--- a/src/core/directory/store_feed.cpp
+++ b/src/core/directory/store_feed.cpp
@@ -175,10 +175,9 @@
 }
 
 // A watch tells each version of an object, and over a thin link more of them come about while one
-// answer passes than it brings: with 2,000 routes written twelve times a second for four seconds,
-// no daemon had the last version ten seconds later. A list has the newest version of each object
-// only, so that it is asked for where a watch would bring more. The first watch ends at once: those
-// that have their copies from here wait for the word that they are true again.
+// answer passes than it brings: the copy then never catches up. A list has the newest version of
+// each object only, so that it is asked for where a watch would bring more. The first watch ends at
+// once: those that have their copies from here wait for the word that they are true again.
 void StoreFeed::watch()
 {
     const std::uint64_t most = WatchBytes + WatchShare * m_copy.bytes();
--- a/src/core/directory/value_patch.cpp
+++ b/src/core/directory/value_patch.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-/// Fast: 1 to 5 ms of a core for a megabyte, where level 3 takes up to 7 and saves nothing here.
+/// The fastest; higher ones save little, since nearly all of the value is found in the base.
 constexpr int Level = 1;
 /// Largest value that a patch may make: eight times what the store holds in one object.
 constexpr std::uint64_t MostValueBytes = 8 << 20;
--- a/src/core/directory/value_patch.h
+++ b/src/core/directory/value_patch.h
@@ -13,8 +13,7 @@
 /// question and its answer cost anyway.
 inline constexpr std::size_t LeastPatchedBytes = 4096;
 
-/// \return A patch that makes \a value out of \a base, with a checksum of the value. About 140
-/// bytes for one route more among 5,000 (920 KB), 18 KB for 1,400 more among 1,645 (560 KB).
+/// \return A patch that makes \a value out of \a base, with a checksum of the value.
 /// \throws std::runtime_error where the codec fails, for want of memory as a rule.
 [[nodiscard]] std::string makePatch(std::string_view base, std::string_view value);
 
--- a/src/core/directory/view_relay.cpp
+++ b/src/core/directory/view_relay.cpp
@@ -207,7 +207,7 @@
 }
 
 // By turns, so that the tree fills evenly: sent on at random, daemons that started together ended
-// up to twenty hops from the store.
+// far from the store.
 std::vector<NamedDaemon> ViewRelay::others(const std::string &domain)
 {
     std::vector<std::pair<Endpoint, Follower *>> ranked;
--- a/src/core/overload/overload_settings.h
+++ b/src/core/overload/overload_settings.h
@@ -24,8 +24,7 @@
     double shrink = 0.95;
     double growth = 0.15;
     /// Share of the window that requests which are late already may fill: the next one that can
-    /// still be in time then finds room. With the whole of it, 0.41 instead of 0.55 were in time at
-    /// three times the usual traffic.
+    /// still be in time then finds room.
     double lateRoom = 0.25;
     /// Requests that wait for one target, and bytes that wait in all. What comes beyond that goes
     /// on: the target's own queue is bounded too, and answers what does not fit.
