Take the records tests' port from below those of other processes

Symptom: 10 of 4,000 runs of test-records-known, 48 at a time, ended with "Address in use", a verdict that hung on the neighbours. Cause: freeAddress() bound port 0, closed it again and handed the number out; the kernel gives numbers of that range to other processes' connections. Ruled out: the server under test, whose own close and listen on one address the test repeats in each run.

--- a/tests/support/records_bench.h
+++ b/tests/support/records_bench.h
@@ -2,10 +2,10 @@
 
 #include "daemon/records/records_client.h"
 #include "daemon/records/records_server.h"
+#include "support/free_ports.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 
 #include <criterion/criterion.h>
 
@@ -18,9 +18,7 @@
 /// \return An address on which nothing listens now.
 [[nodiscard]] inline Endpoint freeAddress()
 {
-    boost::asio::io_context context;
-    boost::asio::ip::tcp::acceptor acceptor{context, {boost::asio::ip::address_v4::loopback(), 0}};
-    return {0x7f000001, acceptor.local_endpoint().port()};
+    return {0x7f000001, freePorts(1).front()};
 }
 
 [[nodiscard]] inline FailureHandler unexpected()
