Serve and fetch records over HTTP: a close of nng's could stop the daemon for good

Cause: in nng 1.5.2 a receive that begins while its pipe is closed never ends. The library's one thread for closed pipes waits for it (pipe_destroy, nni_task_wait; in a hung server the callback is rep0_pipe_recv_cb, its task prepared, busy and in no queue; in hung clients req0_pipe_stop waits), and nng_close waits for that thread. Ruled out: a client's close at the same moment (not needed), what that close leaves behind (0 of 600 after a pause), the test runner (not there). Change: RecordsServer and RecordsClient use the daemon's own HTTP server and client, on the loop's thread; nng leaves the build and the package lists. Not taken: an ordered close (the pipe's own close hangs), a close on another thread (no pipe is taken apart after the first), sockets that are never closed (a pipe also closes when its peer ends). records.contexts is still read, for records.connections. Why it works: no wait is left; a connection ends with the object that holds it.

--- a/bench/control.cpp
+++ b/bench/control.cpp
@@ -33,7 +33,7 @@
 using MeanAndMax = acc::accumulator_set<double, acc::stats<acc::tag::mean, acc::tag::max>>;
 
 constexpr std::size_t DatagramHeaderBytes = 28; ///< IPv4 and UDP.
-constexpr std::size_t FetchOverheadBytes = 500; ///< TCP and nng set-up of one fetch, both ways.
+constexpr std::size_t FetchOverheadBytes = 500; ///< TCP and HTTP set-up of one fetch, both ways.
 constexpr Duration Quiet = 30s;
 constexpr std::size_t Services = 2000; ///< Of the design size.
 constexpr std::size_t Targets = 4400;
--- a/src/core/control/actions.h
+++ b/src/core/control/actions.h
@@ -19,7 +19,7 @@
     Endpoint peer;
     PeerMessage message;
 };
-/// \brief Ask a peer over nng; a FetchResult follows always, within a few seconds.
+/// \brief Ask a peer over HTTP; a FetchResult follows always, within a few seconds.
 struct FetchFromPeer
 {
     Endpoint records;
--- a/src/core/control/context.h
+++ b/src/core/control/context.h
@@ -43,7 +43,7 @@
     void after(Duration wait, Callback callback);
     /// \brief Calls the platform; \a handler gets the result.
     void call(PlatformRequest request, PlatformHandler handler);
-    /// \brief Asks a peer over nng, one question at a time for each peer.
+    /// \brief Asks a peer over HTTP, one question at a time for each peer.
     void fetch(const Endpoint &records, RecordsMessage message, FetchHandler handler);
 
     /// \brief Begins an event; actions go to \a out until leave().
--- a/src/core/control/control_node.h
+++ b/src/core/control/control_node.h
@@ -47,7 +47,7 @@
                 ControlActions &out);
     [[nodiscard]] std::optional<TimePoint> nextTimer() const;
 
-    /// \brief Answers a peer's request over nng.
+    /// \brief Answers a peer's request over HTTP.
     [[nodiscard]] RecordsMessage serve(const RecordsMessage &request, TimePoint now) const;
 
     [[nodiscard]] ConfigPtr config() const noexcept;
--- a/src/core/membership/view.h
+++ b/src/core/membership/view.h
@@ -17,7 +17,7 @@
     DaemonId id;
     Incarnation incarnation;
     Endpoint address; ///< Peer address (UDP).
-    Endpoint records; ///< nng over TCP.
+    Endpoint records; ///< HTTP over TCP.
     std::string domain;
     MemberState state = MemberState::Alive;
     Revision revision;
--- a/src/core/messages/peer.h
+++ b/src/core/messages/peer.h
@@ -55,7 +55,7 @@
     std::uint32_t version = 0; ///< Raised by the member itself to refute a suspicion.
     MemberState state = MemberState::Alive;
     Endpoint address; ///< Peer address (UDP).
-    Endpoint records; ///< Address that records are fetched from (nng over TCP).
+    Endpoint records; ///< Address that records are fetched from (HTTP over TCP).
     std::string domain;
     Revision revision; ///< Configuration in force there when it last spoke.
 };
--- a/src/core/messages/platform.h
+++ b/src/core/messages/platform.h
@@ -79,7 +79,7 @@
     DaemonId daemon;
     std::string domain;
     Endpoint address; ///< Peer address (UDP).
-    Endpoint records; ///< nng over TCP.
+    Endpoint records; ///< HTTP over TCP.
     bool leaving = false;
 };
 
--- a/src/core/messages/records.h
+++ b/src/core/messages/records.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// \file
-/// \brief Messages by which daemons fetch change records and status from each other, over nng
+/// \brief Messages by which daemons fetch change records and status from each other, over HTTP
 /// (request and reply).
 
 #include "core/ids.h"
--- a/src/core/traffic/settings.h
+++ b/src/core/traffic/settings.h
@@ -15,7 +15,7 @@
     Incarnation incarnation;
     std::string domain;
     Endpoint address; ///< Peer address (UDP).
-    Endpoint records; ///< nng over TCP.
+    Endpoint records; ///< HTTP over TCP.
 };
 
 /// \brief Bounds and times of the traffic side; the defaults are the product's.
--- a/src/daemon/daemon_tree.cpp
+++ b/src/daemon/daemon_tree.cpp
@@ -72,7 +72,7 @@
                 return reply;
             };
             m_recordsServer = std::make_unique<RecordsServer>(
-                m_context, listen.records, m_settings.records.contexts, serve, failed);
+                m_context, listen.records, m_settings.records.connections, serve, failed);
         }));
     m_network.add(ownerOf("records client", m_recordsClient, [this](const FailureHandler &) {
         m_recordsClient = std::make_unique<RecordsClient>(m_context, m_settings.records.timeout);
--- a/src/daemon/settings/settings.h
+++ b/src/daemon/settings/settings.h
@@ -15,7 +15,7 @@
 {
     Endpoint data;           ///< UDP; datagrams of callers and targets, handed on by the fabric.
     Endpoint peer;           ///< UDP; other daemons, and targets that answer an open.
-    Endpoint records;        ///< TCP, nng.
+    Endpoint records;        ///< TCP, HTTP.
     Endpoint administration; ///< TCP, HTTP.
 };
 
@@ -37,7 +37,7 @@
 struct RecordsSettings
 {
     Duration timeout = 2s;
-    std::uint32_t contexts = 8; ///< Requests that are answered at once.
+    std::uint32_t connections = 64; ///< Of other daemons that are kept.
 };
 
 struct AdministrationSettings
--- a/src/daemon/settings/settings_reader.cpp
+++ b/src/daemon/settings/settings_reader.cpp
@@ -114,7 +114,8 @@
 void readRecords(ObjectReader &reader, RecordsSettings &out)
 {
     reader.duration("timeout", out.timeout, 10ms, 1min);
-    reader.number("contexts", out.contexts, 1, 256);
+    reader.number("contexts", out.connections, 1, 256); // Older name.
+    reader.number("connections", out.connections, 1, 4096);
 }
 
 void readLog(ObjectReader &reader, LogSettings &out)
--- a/tests/daemon/records_test.cpp
+++ b/tests/daemon/records_test.cpp
@@ -28,3 +28,57 @@
     runUntil(context, answers, Questions);
     cr_assert_eq(right, Questions);
 }
+
+namespace {
+
+constexpr std::size_t Closes = 400;
+constexpr Duration LatestClose = 1ms;
+
+/// \brief Runs the loop for a span that grows from round to round, so that the close which follows
+/// comes at each moment of an exchange.
+void runUntilClose(boost::asio::io_context &context, std::size_t round)
+{
+    const auto span = LatestClose * round / Closes;
+    const auto work = boost::asio::make_work_guard(context);
+    context.restart();
+    context.run_for(span);
+}
+
+[[nodiscard]] std::optional<std::string> answerAll(std::string_view)
+{
+    return "answer";
+}
+
+} // namespace
+
+// Guards against a client's close that waits for ever, where an answer arrives at that moment.
+Test(records, aClientClosesAtAnyMomentOfAnExchange, .timeout = 30)
+{
+    boost::asio::io_context context;
+    const Endpoint address = freeAddress();
+    const RecordsServer server{context, address, 2, &answerAll, unexpected()};
+    std::size_t answers = 0;
+    for (std::size_t round = 0; round < Closes; ++round) {
+        RecordsClient client{context, RecordsTimeout};
+        client.fetch(address, "known", [&](const auto &) { ++answers; });
+        runUntilClose(context, round);
+    }
+    runUntil(context, answers, Closes);
+}
+
+// Guards against a server's close that waits for ever, where a request arrives at that moment.
+Test(records, aServerClosesAtAnyMomentOfAnExchange, .timeout = 30)
+{
+    boost::asio::io_context context;
+    const Endpoint address = freeAddress();
+    std::size_t answers = 0;
+    for (std::size_t round = 0; round < Closes; ++round) {
+        RecordsClient client{context, RecordsTimeout};
+        std::optional<RecordsServer> server;
+        server.emplace(context, address, 2, &answerAll, unexpected());
+        client.fetch(address, "known", [&](const auto &) { ++answers; });
+        runUntilClose(context, round);
+        server.reset();
+    }
+    runUntil(context, answers, Closes);
+}
