End a daemon whose log nobody reads any more

What callers saw: nothing at once; the daemon drains and leaves its loop at SIGTERM, and then never ends. It answers no probe and holds its ports until it is killed, and a roll that waits for its end stands still. Cause: the log's thread stands in write() on a full pipe; ~LogSession joins it. Ruled out: the drain and the stop timer, which had ended (the main thread is in ~LogSession, after the loop). Change: LineOutput waits for room with poll and writes no more than fits; once the process is about to end the reader has 0.3 s left. Why it works: no write is begun that could block, so the wait has an end.

--- /dev/null
+++ b/src/daemon/log/line_output.cpp
@@ -0,0 +1,58 @@
+#include "daemon/log/line_output.h"
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <climits>
+#include <string_view>
+
+namespace baobabtrail::daemon {
+
+namespace {
+
+using namespace std::chrono_literals;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+/// A reader that is merely busy takes a full pipe within this.
+constexpr auto LastMoment = 300ms;
+/// Between two looks whether the process is about to end.
+constexpr auto Look = 50ms;
+
+} // namespace
+
+void LineOutput::consume(const boost::log::record_view &, const std::string &line)
+{
+    const std::string text = line + '\n';
+    std::string_view left = text;
+    while (!left.empty()) {
+        if (!waitForRoom())
+            return;
+        const std::size_t most = std::min<std::size_t>(left.size(), PIPE_BUF);
+        const ssize_t written = ::write(m_descriptor, left.data(), most);
+        if (written < 0 && errno != EINTR)
+            return; // The reader is gone.
+        left.remove_prefix(written > 0 ? static_cast<std::size_t>(written) : 0);
+    }
+}
+
+void LineOutput::end() noexcept
+{
+    m_until = Clock::now() + LastMoment;
+}
+
+bool LineOutput::waitForRoom() const noexcept
+{
+    pollfd output{m_descriptor, POLLOUT, 0};
+    for (;;) {
+        const auto wait = std::clamp<Clock::duration>(m_until.load() - Clock::now(), 0ms, Look);
+        if (::poll(&output, 1, static_cast<int>(duration_cast<milliseconds>(wait).count())) != 0)
+            return true;
+        if (Clock::now() >= m_until.load())
+            return false;
+    }
+}
+
+} // namespace baobabtrail::daemon
--- a/src/daemon/log/log.cpp
+++ b/src/daemon/log/log.cpp
@@ -1,22 +1,23 @@
 #include "daemon/log/log.h"
 
-#include <boost/core/null_deleter.hpp>
+#include "daemon/log/line_output.h"
+
 #include <boost/log/attributes/clock.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/async_frontend.hpp>
 #include <boost/log/sinks/bounded_fifo_queue.hpp>
 #include <boost/log/sinks/drop_on_overflow.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/support/date_time.hpp>
 
 #include <array>
-#include <iostream>
 #include <memory>
 #include <string>
 
+#include <unistd.h>
+
 namespace baobabtrail::daemon {
 
 namespace {
@@ -27,7 +28,7 @@
 
 using Queue
     = logging::sinks::bounded_fifo_queue<MostWaitingLines, logging::sinks::drop_on_overflow>;
-using Frontend = logging::sinks::asynchronous_sink<logging::sinks::text_ostream_backend, Queue>;
+using Frontend = logging::sinks::asynchronous_sink<LineOutput, Queue>;
 using Logger = logging::sources::severity_logger<Severity>;
 
 [[nodiscard]] Logger &logger()
@@ -50,16 +51,15 @@
 
 struct LogSession::Sink
 {
+    boost::shared_ptr<LineOutput> output;
     boost::shared_ptr<Frontend> frontend;
 };
 
 LogSession::LogSession(Severity level)
     : m_sink(std::make_unique<Sink>())
 {
-    const auto backend = boost::make_shared<logging::sinks::text_ostream_backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter{}));
-    backend->auto_flush(true);
-    m_sink->frontend = boost::make_shared<Frontend>(backend);
+    m_sink->output = boost::make_shared<LineOutput>(STDOUT_FILENO);
+    m_sink->frontend = boost::make_shared<Frontend>(m_sink->output);
     m_sink->frontend->set_formatter(&format);
 
     const auto core = logging::core::get();
@@ -74,6 +74,7 @@
 LogSession::~LogSession()
 {
     logging::core::get()->remove_sink(m_sink->frontend);
+    m_sink->output->end();
     m_sink->frontend->stop();
     m_sink->frontend->flush();
 }
--- a/tests/direct-system/direct_system_test.cpp
+++ b/tests/direct-system/direct_system_test.cpp
@@ -9,6 +9,27 @@
 using namespace baobabtrail::standins;
 using namespace std::chrono_literals;
 
+namespace {
+
+constexpr std::size_t LogFillingRounds = 10;
+constexpr std::size_t LogFillingAsks = 20; ///< Of each caller and round.
+constexpr std::size_t LogFillingRequests = LogFillingRounds * LogFillingAsks * Callers;
+
+/// \brief Has so many flows placed that the lines about them are more than a pipe holds.
+void fillLogs(World &world)
+{
+    for (std::size_t round = 0; round < LogFillingRounds; ++round) {
+        for (const auto &caller : world.callers()) {
+            for (std::size_t ask = 0; ask < LogFillingAsks; ++ask)
+                caller->ask(World::routeOf(0), "lending");
+        }
+        world.run(150ms);
+    }
+    (void)world.runUntil([&] { return world.callerLog.singleAnswered == LogFillingRequests; }, 3s);
+}
+
+} // namespace
+
 // A feed is open; its daemon is asked to stop, and later another one is killed.
 // The stop ends in order, no flow breaks, and callers are served all the while.
 Test(directSystem, feedsLiveThroughAStopAndAKill)
@@ -153,20 +174,22 @@
 {
     DirectSystem system{Process::Output::Unread};
     World &world = system.world;
-    for (int round = 0; round < 10; ++round) {
-        for (const auto &caller : world.callers()) {
-            for (int ask = 0; ask < 20; ++ask)
-                caller->ask(World::routeOf(0), "lending");
-        }
-        world.run(150ms);
-    }
-    (void)world.runUntil([&] { return world.callerLog.singleAnswered == 10 * 20 * Callers; }, 3s);
-    cr_assert_eq(world.callerLog.singleAnswered, 10 * 20 * Callers);
+    fillLogs(world);
+    cr_assert_eq(world.callerLog.singleAnswered, LogFillingRequests);
     cr_assert_eq(world.callerLog.timedOut, 0);
     cr_assert_eq(system.askAll(), 2 * Callers);
     system.expectSound();
 }
 
+// Guards against a daemon that never ends, because nobody reads what it prints any more.
+Test(directSystem, aLogReaderThatHasStoppedHoldsUpNoStop, .timeout = 60)
+{
+    DirectSystem system{Process::Output::Unread};
+    fillLogs(system.world);
+    for (std::size_t index = 0; index < Daemons; ++index)
+        cr_assert_eq(system.world.stopDaemon(index), 0);
+}
+
 // A target crashes, and its address goes to a target of the other service, which must never run
 // a request that was meant for the first.
 Test(directSystem, aReusedAddressTakesNothingOfItsPredecessor)
