--- a/tests/direct-system-known/serves_test.cpp
+++ b/tests/direct-system-known/serves_test.cpp
@@ -2,9 +2,7 @@
 
 using namespace baobabtrail::test;
 
-// Callers ask right after all daemons have come into rotation. Once, under the sanitizers and
-// beside a hunt of the bench, fewer than twelve answers of feeds and requests together came within
-// half a second; why is not found. Nothing else about the system was out of the ordinary.
+// Guards against openings that wait at daemons which have just come into rotation.
 Test(directSystemKnown, servesBothServices)
 {
     DirectSystem system;
