--- a/src/daemon/records/records_server.cpp
+++ b/src/daemon/records/records_server.cpp
@@ -30,7 +30,8 @@
 } // namespace
 
 RecordsServer::RecordsServer(boost::asio::io_context &context, const Endpoint &local,
-                             std::size_t connections, ServeRecords serve, FailureHandler failed)
+                             std::size_t connections, ServeRecords serve,
+                             const FailureHandler &failed)
     : m_http(
         context, local, httpSettings(connections),
         [alive = std::weak_ptr{m_alive}, serve = std::move(serve),
--- a/src/daemon/records/records_server.h
+++ b/src/daemon/records/records_server.h
@@ -19,7 +19,7 @@
     /// \param connections That are kept; further ones are answered once each.
     /// \throws std::runtime_error where the address can't be listened on.
     RecordsServer(boost::asio::io_context &context, const Endpoint &local, std::size_t connections,
-                  ServeRecords serve, FailureHandler failed);
+                  ServeRecords serve, const FailureHandler &failed);
 
 private:
     /// Connections may outlive the server; \a serve may not be asked then.
