Keep a daemon alive whose log's reader is gone

What callers saw: daemons that die in the moment in which the process that reads their log ends; open openings go unanswered until another one is in rotation. Cause: a write into a pipe without a reader raises SIGPIPE, which nothing handled. Ruled out: sockets; asio sends without that signal. Change: LogSession ignores SIGPIPE, as it is what writes to the pipe; the write then fails with EPIPE, and a line is lost.

--- a/src/daemon/log/log.cpp
+++ b/src/daemon/log/log.cpp
@@ -13,6 +13,7 @@
 #include <boost/log/support/date_time.hpp>
 
 #include <array>
+#include <csignal>
 #include <memory>
 #include <string>
 
@@ -58,6 +59,8 @@
 LogSession::LogSession(Severity level)
     : m_sink(std::make_unique<Sink>())
 {
+    // Where the log's reader is gone, a write would end the daemon; now it fails, and costs a line.
+    std::signal(SIGPIPE, SIG_IGN);
     m_sink->output = boost::make_shared<LineOutput>(STDOUT_FILENO);
     m_sink->frontend = boost::make_shared<Frontend>(m_sink->output);
     m_sink->frontend->set_formatter(&format);
--- a/src/daemon/log/log.h
+++ b/src/daemon/log/log.h
@@ -13,7 +13,8 @@
 /// \brief Sends lines to standard output from a thread of its own, for as long as it lives.
 ///
 /// A reader of standard output that has stopped must not stop forwarding: lines wait in a bounded
-/// queue, and those that find it full are dropped.
+/// queue, and those that find it full are dropped. Nor may one that is gone end the process:
+/// SIGPIPE is ignored from then on.
 class LogSession
 {
 public:
--- a/standins/direct/world.h
+++ b/standins/direct/world.h
@@ -92,6 +92,9 @@
             m_daemons[index].reset();
     }
 
+    /// \brief The process that read a daemon's log is gone.
+    void endLogReader(std::size_t index) { m_daemons[index]->closeOutput(); }
+
     /// \brief Asks a daemon to stop and waits for its end, while everything else goes on.
     /// \return Its exit status.
     int stopDaemon(std::size_t index)
--- a/tests/direct-system/direct_system_test.cpp
+++ b/tests/direct-system/direct_system_test.cpp
@@ -190,6 +190,18 @@
         cr_assert_eq(system.world.stopDaemon(index), 0);
 }
 
+// Guards against daemons that die with the process that reads their logs.
+Test(directSystem, aLogReaderThatIsGoneEndsNoDaemon, .timeout = 60)
+{
+    DirectSystem system{Process::Output::Unread};
+    for (std::size_t index = 0; index < Daemons; ++index)
+        system.world.endLogReader(index);
+    fillLogs(system.world);
+    cr_assert_eq(system.world.callerLog.singleAnswered, LogFillingRequests);
+    for (std::size_t index = 0; index < Daemons; ++index)
+        cr_assert_eq(system.world.stopDaemon(index), 0);
+}
+
 // A target crashes, and its address goes to a target of the other service, which must never run
 // a request that was meant for the first.
 Test(directSystem, aReusedAddressTakesNothingOfItsPredecessor)
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -113,6 +113,9 @@
                    && info.si_pid == m_id);
     }
 
+    /// \brief Whoever read what the program prints is gone.
+    void closeOutput() { m_output.reset(); }
+
     /// \return One more line of standard output; empty at its end.
     [[nodiscard]] std::string readLine()
     {
