Test that settings of the release before are read: records.contexts

records.connections has taken its place; a daemon that refused the older name would not start again in a roll. The check passes on the code as it is.

--- a/tests/settings/settings_reader_test.cpp
+++ b/tests/settings/settings_reader_test.cpp
@@ -95,6 +95,17 @@
     cr_assert(settings->stopTimeout == 30s);
 }
 
+// Guards against a daemon of a newer release that refuses the settings which the older one took.
+Test(settings, theOlderNameOfRecordsConnectionsIsRead)
+{
+    const ScratchDirectory scratch;
+    const auto secret = scratch.write("secret", Secret, OwnerOnly);
+    const auto result = readSettings(settingsText(secret, R"(, "records": {"contexts": 12})"));
+    const auto *settings = std::get_if<Settings>(&result);
+    cr_assert(settings);
+    cr_assert_eq(settings->records.connections, 12);
+}
+
 Test(settings, everyFindingIsReportedAtOnceWithItsKeyPath)
 {
     const ScratchDirectory scratch;
