Evacuate a failure domain: no new flow goes there until it is taken back

Cause: nothing read the operator's entries. No daemon knew of them.

A change ends it at once; probes of the connection notice within 3 s that it has gone silent; where another collection's watch fails or has lost its history, it is asked anew, since the store drops all of them together.

Its copies have no age: the version of a long watch hardly ever grows, and counted with the others every follower took its source for out of date. A source whose version is older is passed over; what it lacks is on its way.

In force: a belief of its own, behind which neither suspects nor lapsed nor busy ones are fallen back on. Open flows stay. A service with targets nowhere else is refused at once. A daemon without the list is not ready, as without routes: openings wait for it.

Both: baobabctl show domains, log lines domain_evacuated and domain_restored, gauge baobabtrail_domain_evacuated_flows.

The check of the codec on the number of commands, and of the parser's text, name the two new commands.

--- a/src/core/config/apply.cpp
+++ b/src/core/config/apply.cpp
@@ -156,9 +156,42 @@
         effect("keys rotate");
     }
 
+    void operator()(const EvacuateDomain &command)
+    {
+        if (config().evacuations.contains(command.domain))
+            return add("is evacuated already");
+        if (setEvacuated(command.domain, true) == 0)
+            return add("no target is in it");
+        config().evacuations[command.domain] = {m_record.revision, m_record.unixSeconds};
+        effect("its targets get no new work");
+    }
+
+    void operator()(const RestoreDomain &command)
+    {
+        if (config().evacuations.erase(command.domain) == 0)
+            return add("is not evacuated");
+        (void)setEvacuated(command.domain, false);
+        effect("its targets get new work again");
+    }
+
 private:
     [[nodiscard]] Config &config() noexcept { return m_result.next; }
 
+    /// \return How many targets are in the failure domain.
+    std::size_t setEvacuated(const std::string &domain, bool evacuated)
+    {
+        std::size_t count = 0;
+        for (auto &[id, service] : config().services) {
+            for (auto &[targetId, target] : service.targets) {
+                if (target.domain != domain)
+                    continue;
+                target.evacuated = evacuated;
+                ++count;
+            }
+        }
+        return count;
+    }
+
     void applyCommand(std::size_t index)
     {
         const Command &command = m_record.commands[index];
@@ -230,6 +263,7 @@
             return false;
         release(target, service->id);
         target.generation = Generation{m_record.revision.value()};
+        target.evacuated = config().evacuations.contains(target.domain);
         target.stateSince = m_record.revision;
         target.stateSinceUnixSeconds = m_record.unixSeconds;
         noteUse(target, toString(name) + '/' + target.name);
--- a/src/core/config/change.h
+++ b/src/core/config/change.h
@@ -88,10 +88,19 @@
 {
     KeyEpoch epoch;
 };
+/// \brief The domain's targets get no new work; flows and requests that they hold stay.
+struct EvacuateDomain
+{
+    std::string domain;
+};
+struct RestoreDomain
+{
+    std::string domain;
+};
 
 using Command = std::variant<DeclareTenant, DeclareService, AddTarget, DrainTarget, UndrainTarget,
                              RetireTarget, RemoveTarget, CutTarget, SetLimits, SetWeight,
-                             MoveTarget, RotateKeys>;
+                             MoveTarget, RotateKeys, EvacuateDomain, RestoreDomain>;
 
 /// \brief One entry of the log of changes.
 struct ChangeRecord
--- a/src/core/config/config.h
+++ b/src/core/config/config.h
@@ -27,11 +27,18 @@
     Endpoint flows;    ///< UDP.
     Endpoint requests; ///< TCP.
     TargetState state = TargetState::Active;
+    bool evacuated = false;     ///< Its failure domain is. \see Config::evacuations
     std::uint32_t slots = 1;    ///< Requests that it runs at once.
     std::uint32_t weight = 100; ///< Share of new flows, relative to the other targets.
     Revision stateSince;
     std::int64_t stateSinceUnixSeconds = 0; ///< Wall clock of the daemon that accepted the state.
 
+    /// \return Whether it may get new work, as far as operators want.
+    [[nodiscard]] bool takesWork() const noexcept
+    {
+        return state == TargetState::Active && !evacuated;
+    }
+
     friend bool operator==(const TargetConfig &, const TargetConfig &) = default;
 };
 
@@ -67,6 +74,15 @@
     friend bool operator==(const QuarantinedAddress &, const QuarantinedAddress &) = default;
 };
 
+/// \brief A failure domain whose targets get no new work until it is restored.
+struct DomainEvacuation
+{
+    Revision since;
+    std::int64_t sinceUnixSeconds = 0; ///< Wall clock of the daemon that accepted the change.
+
+    friend bool operator==(const DomainEvacuation &, const DomainEvacuation &) = default;
+};
+
 struct TenantConfig
 {
     std::string name;
@@ -83,6 +99,7 @@
     std::map<std::string, TenantConfig> tenants;
     std::map<ServiceId, ServiceConfig> services;
     std::vector<QuarantinedAddress> quarantine;
+    std::map<std::string, DomainEvacuation> evacuations; ///< By failure domain.
 
     /// \return The service, or null.
     [[nodiscard]] const ServiceConfig *service(ServiceId id) const noexcept;
--- a/src/core/config/record_codec.cpp
+++ b/src/core/config/record_codec.cpp
@@ -65,6 +65,24 @@
     return "rotate-keys";
 }
 
+constexpr std::string_view kindOf(const EvacuateDomain &)
+{
+    return "evacuate-domain";
+}
+constexpr std::string_view kindOf(const RestoreDomain &)
+{
+    return "restore-domain";
+}
+
+/// Commands that carry nothing but a failure domain's name.
+template <typename T>
+concept NamesDomainOnly = std::same_as<T, EvacuateDomain> || std::same_as<T, RestoreDomain>;
+
+[[nodiscard]] std::string nameOf(const NamesDomainOnly auto &command)
+{
+    return command.domain;
+}
+
 [[nodiscard]] std::string nameOf(const DeclareTenant &command)
 {
     return command.tenant;
@@ -230,6 +248,15 @@
     command.target = readTargetName(fields);
 }
 
+[[nodiscard]] json::object write(const NamesDomainOnly auto &command)
+{
+    return {{"domain", command.domain}};
+}
+void read(const FieldReader &fields, NamesDomainOnly auto &command)
+{
+    command.domain = fields.text("domain");
+}
+
 template <typename T>
 [[nodiscard]] bool tryRead(const FieldReader &fields, std::string_view kind, Command &out)
 {
--- a/src/core/config/snapshot.cpp
+++ b/src/core/config/snapshot.cpp
@@ -154,6 +154,9 @@
             addService(readService(fields));
         else if (kind == "target")
             addTarget(fields);
+        else if (kind == "evacuation")
+            config.evacuations[fields.text("domain")]
+                = {Revision{fields.number("since")}, fields.seconds("time")};
         else if (kind == "quarantine")
             config.quarantine.push_back(readQuarantine(fields));
         else if (kind == "change")
@@ -174,6 +177,7 @@
         if (service == m_snapshot.config.services.end())
             fields.fail("target of an unknown service");
         TargetConfig target = readTarget(fields);
+        target.evacuated = m_snapshot.config.evacuations.contains(target.domain);
         const TargetId id = target.id;
         service->second.targets[id] = std::move(target);
     }
@@ -190,6 +194,12 @@
     packer.add({{"item", "keys"}, {"epoch", config.keyEpoch.value()}});
     for (const auto &[name, tenant] : config.tenants)
         packer.add({{"item", "tenant"}, {"name", name}, {"key-hash", tenant.keyHash}});
+    // Before the targets, which are read with it.
+    for (const auto &[domain, evacuation] : config.evacuations)
+        packer.add({{"item", "evacuation"},
+                    {"domain", domain},
+                    {"since", evacuation.since.value()},
+                    {"time", evacuation.sinceUnixSeconds}});
     for (const auto &[id, service] : config.services) {
         packer.add(toJson(service));
         for (const auto &[targetId, target] : service.targets)
--- a/src/core/config/validate.cpp
+++ b/src/core/config/validate.cpp
@@ -76,6 +76,8 @@
         if (command.epoch.isNull())
             add("epoch 0 is not a key epoch");
     }
+    void operator()(const EvacuateDomain &command) { name("failure domain", command.domain); }
+    void operator()(const RestoreDomain &command) { name("failure domain", command.domain); }
     template <typename T>
     void operator()(const T &command)
     {
@@ -169,7 +171,7 @@
             else if constexpr (requires { typed.service.tenant; })
                 return typed.service.tenant;
             else
-                return {}; // Tenants and keys are the whole system's matter.
+                return {}; // Tenants, keys and failure domains are the whole system's matter.
         },
         command);
 }
--- a/src/core/direct/direct_node.cpp
+++ b/src/core/direct/direct_node.cpp
@@ -23,18 +23,31 @@
 constexpr Duration StaleSpread = 400ms;
 /// Between two looks at requests that are held: short beside the latency that any route promises.
 constexpr Duration ServeHeldPeriod = 10ms;
+/// One watch for evacuations. It may be long: a change ends it at once, probes notice within three
+/// seconds that its connection has gone silent, and the watches of the other collections that the
+/// store was away or has dropped its watches.
+constexpr Duration EvacuationsWatch = 30s;
 /// A confirmation that is younger by less than this is no news to followers.
 constexpr Duration LeastNewsOfAge = 200ms;
 
+[[nodiscard]] FeedSettings feedSettings(FeedSettings settings, Vouching vouching) noexcept
+{
+    if (vouching == Vouching::Watched)
+        settings.watchWait = std::max(settings.watchWait, EvacuationsWatch);
+    return settings;
+}
+
 } // namespace
 
 DirectNode::Collection::Collection(DirectNode &node, std::string_view shortName,
-                                   std::string_view keyPrefix, Take takeChange)
+                                   std::string_view keyPrefix, Take takeChange, Vouching vouching)
     : name(shortName)
     , prefix(keyPrefix)
     , take(takeChange)
+    , copy(vouching)
     , store(
-          prefix, node.m_settings.store, node.m_ports.feed, node.m_random, copy,
+          prefix, feedSettings(node.m_settings.store, vouching), node.m_ports.feed, node.m_random,
+          copy,
           [this, &node](const CollectionChange &change) {
               (node.*take)(change);
               node.m_relay.changed();
@@ -56,8 +69,10 @@
     , m_relay(m_identity.domain, settings.relay, relayPorts())
     , m_routes(*this, "routes", RoutesPrefix, &DirectNode::takeRoutes)
     , m_targets(*this, "targets", TargetsPrefix, &DirectNode::takeTargets)
+    , m_evacuations(*this, "evacuations", EvacuationsPrefix, &DirectNode::takeEvacuations,
+                    Vouching::Watched)
     , m_peers(m_settings.peers, m_identity, peerPorts(), m_random,
-              {shared(m_routes), shared(m_targets)}, peerHandlers())
+              {shared(m_routes), shared(m_targets), shared(m_evacuations)}, peerHandlers())
 {
 }
 
@@ -79,7 +94,7 @@
 
 void DirectNode::startFeeds()
 {
-    for (Collection *collection : {&m_routes, &m_targets}) {
+    for (Collection *collection : all()) {
         if (m_isRoot)
             collection->store.start();
         else
@@ -187,14 +202,16 @@
 void DirectNode::stoodStill(Duration gap)
 {
     notice(StoodStill{gap});
-    m_routes.copy.doubt();
-    m_targets.copy.doubt();
+    for (Collection *collection : all())
+        collection->copy.doubt();
     startFeeds();
 }
 
 bool DirectNode::hasCopies() const noexcept
 {
-    return m_routes.copy.complete() && m_targets.copy.complete();
+    const auto collections = all();
+    return std::all_of(collections.begin(), collections.end(),
+                       [](const Collection *each) { return each->copy.complete(); });
 }
 
 bool DirectNode::ready() const noexcept
@@ -226,7 +243,7 @@
 std::vector<DirectNode::CollectionStatus> DirectNode::collections() const
 {
     std::vector<CollectionStatus> out;
-    for (const Collection *each : {&m_routes, &m_targets})
+    for (const Collection *each : all())
         out.push_back(
             {each->name, each->copy.version(), each->copy.size(), ageOf(*each), each->byStore});
     return out;
@@ -288,11 +305,33 @@
     }
 }
 
+// The key says all: an entry that can't be read was still put there to empty the domain.
+void DirectNode::takeEvacuations(const CollectionChange &change)
+{
+    const auto set = [&](const std::string &key, bool evacuated) {
+        const std::string domain = key.substr(EvacuationsPrefix.size());
+        if (m_router.setEvacuated(domain, evacuated, m_ports.feed.now()))
+            notice(DomainEvacuated{domain, !evacuated, m_router.targets().openFlowsIn(domain),
+                                   change.version});
+    };
+    for (const StoredObject &object : change.written)
+        set(object.key, true);
+    for (const std::string &key : change.removed)
+        set(key, false);
+}
+
+void DirectNode::askForEvacuations()
+{
+    m_evacuations.store.askAnew();
+}
+
 void DirectNode::storeContact(Collection &collection, const FeedContact &end)
 {
     if (end.historyGone)
         notice(HistoryLost{collection.name, collection.copy.version()});
     const bool lost = !end.failure.empty();
+    if (&collection != &m_evacuations && (end.historyGone || (!lost && collection.storeLost)))
+        askForEvacuations();
     collection.byStore = !lost;
     if (!lost && !end.historyGone) {
         tellFollowers();
@@ -318,7 +357,7 @@
             m_peers.tellRoots();
         return;
     }
-    for (Collection *collection : {&m_routes, &m_targets}) {
+    for (Collection *collection : all()) {
         if (state == PeerState::Fresh || state == PeerState::Waiting)
             stopStore(*collection);
         else if (!collection->copy.complete())
--- a/src/core/direct/direct_node.h
+++ b/src/core/direct/direct_node.h
@@ -9,6 +9,7 @@
 #include "core/notice.h"
 #include "core/random.h"
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -78,13 +79,22 @@
 {
     std::size_t waiting = 0;
 };
+/// \brief The operator asks that a failure domain gets no new flows, or no longer asks so.
+struct DomainEvacuated
+{
+    std::string domain;
+    bool ended = false;
+    std::uint64_t openFlows = 0; ///< Of this daemon, at the domain's targets; they stay.
+    ObjectVersion version;
+};
 /// \brief The process stood still; the directory counts as out of date until it is read again.
 struct StoodStill
 {
     Duration gap{0};
 };
-using NodeNotice = std::variant<RoutesInForce, ObjectRefused, StoreContact, PeerContact,
-                                HistoryLost, WaitingFull, StoodStill, PeerAsked, TurningAway>;
+using NodeNotice
+    = std::variant<RoutesInForce, ObjectRefused, StoreContact, PeerContact, HistoryLost,
+                   WaitingFull, StoodStill, PeerAsked, TurningAway, DomainEvacuated>;
 
 /// \brief What a DirectNode needs of its surroundings.
 struct DirectPorts
@@ -147,7 +157,7 @@
 
     /// \return Whether a complete directory is in force, so that traffic can be taken.
     [[nodiscard]] bool ready() const noexcept;
-    /// \return Age of the older one of the two collections; nothing before both are there.
+    /// \return Age of the older one of routes and targets; nothing before both are there.
     [[nodiscard]] std::optional<Duration> viewAge() const;
     [[nodiscard]] bool fresh() const;
     /// \brief How one collection stands.
@@ -176,8 +186,8 @@
     struct Collection
     {
         using Take = void (DirectNode::*)(const CollectionChange &);
-        Collection(DirectNode &node, std::string_view shortName, std::string_view prefix,
-                   Take take);
+        Collection(DirectNode &node, std::string_view shortName, std::string_view prefix, Take take,
+                   Vouching vouching = Vouching::Dated);
 
         std::string_view name;
         std::string prefix;
@@ -199,6 +209,10 @@
     [[nodiscard]] SharedCollection shared(Collection &collection);
     void takeRoutes(const CollectionChange &change);
     void takeTargets(const CollectionChange &change);
+    void takeEvacuations(const CollectionChange &change);
+    /// \brief The store was away from the watches, or has dropped them: it may have dropped the
+    /// one of the evacuations too, which would hear of that much later.
+    void askForEvacuations();
     void storeContact(Collection &collection, const FeedContact &end);
     void peerContact(PeerState state);
     /// \brief The peers have answered for the copies.
@@ -217,6 +231,14 @@
     void notice(const NodeNotice &notice) const;
     void expirePeriodically();
     [[nodiscard]] std::optional<Duration> ageOf(const Collection &collection) const;
+    [[nodiscard]] std::array<Collection *, 3> all() noexcept
+    {
+        return {&m_routes, &m_targets, &m_evacuations};
+    }
+    [[nodiscard]] std::array<const Collection *, 3> all() const noexcept
+    {
+        return {&m_routes, &m_targets, &m_evacuations};
+    }
 
     PeerIdentity m_identity;
     DirectNodeSettings m_settings;
@@ -229,6 +251,7 @@
     ViewRelay m_relay;
     Collection m_routes;
     Collection m_targets;
+    Collection m_evacuations;
     PeerFeed m_peers;
     TimePoint m_toldAt{};  ///< Confirmation that followers have been told of.
     TimePoint m_pulseAt{}; ///< Pulse that they have been told of while the copies were stale.
--- a/src/core/direct/direct_router.cpp
+++ b/src/core/direct/direct_router.cpp
@@ -75,6 +75,11 @@
         m_observer.believed({*known, m_targets.belief(*known)});
 }
 
+bool DirectRouter::setEvacuated(const std::string &domain, bool evacuated, TimePoint now)
+{
+    return m_targets.setEvacuated(domain, evacuated, now);
+}
+
 /// \return The target that holds the flow; null where it has started again since.
 DirectTarget *DirectRouter::targetOf(const Flow &flow)
 {
@@ -149,8 +154,10 @@
                 unanswered(flow, *before, now);
             // A second target that answers too would confuse the caller. Only one that is known to
             // be silent or leaving is given up.
-            if (m_targets.belief(*before) == TargetBelief::Trusted
-                || !m_settings.mechanisms.has(Mechanism::MovedOpenings))
+            const TargetBelief belief = m_targets.belief(*before);
+            const bool moves = m_settings.mechanisms.has(Mechanism::MovedOpenings)
+                               || belief == TargetBelief::Evacuated;
+            if (belief == TargetBelief::Trusted || !moves)
                 return deliver(*before, segment, service, SegmentCause::OfferedAgain);
             except = flow.target;
         }
--- a/src/core/direct/direct_router.h
+++ b/src/core/direct/direct_router.h
@@ -138,6 +138,10 @@
     /// that it holds stay.
     void refuseTarget(TargetId target);
     void removeTarget(TargetId target, bool lapsed, TimePoint now);
+    /// \brief A failure domain gets no new flows from now on, or gets them again. Its open flows
+    /// stay where they are.
+    /// \return Whether that is new.
+    bool setEvacuated(const std::string &domain, bool evacuated, TimePoint now);
 
     [[nodiscard]] SegmentVerdict route(const Segment &segment, TimePoint now);
     /// \return What has become of requests that were held, since the last call; to be asked after
--- a/src/core/direct/direct_router_held.cpp
+++ b/src/core/direct/direct_router_held.cpp
@@ -28,7 +28,7 @@
     if (flow.requested || flow.state != FlowState::Open || !isLater(end, flow.end))
         return false;
     // A target that is silent gives no answer for which to wait, and its flows have to show so.
-    if (m_targets.belief(target) == TargetBelief::Suspect || target.goneAt)
+    if (m_targets.isSuspect(target) || target.goneAt)
         return false;
     // A caller that opens a flow for a request has waited since the opening; one that opens it
     // ahead has not.
@@ -57,8 +57,7 @@
 {
     for (const TargetId id : m_gate.targetsWaitedFor()) {
         DirectTarget *target = m_targets.find(id);
-        const bool silent
-            = !target || target->goneAt || m_targets.belief(*target) == TargetBelief::Suspect;
+        const bool silent = !target || target->goneAt || m_targets.isSuspect(*target);
         while (silent) {
             const auto request = m_gate.takeAny(id, now);
             if (!request)
--- a/src/core/direct/direct_targets.cpp
+++ b/src/core/direct/direct_targets.cpp
@@ -46,11 +46,33 @@
     target.entry = entry;
     target.refused = false;
     target.local = entry.domain == m_domain;
+    target.evacuated = m_evacuated.contains(entry.domain);
     target.lapsedAt.reset();
     target.goneAt.reset();
     return startedAgain;
 }
 
+bool DirectTargets::setEvacuated(const std::string &domain, bool evacuated, TimePoint now)
+{
+    const bool isNew
+        = evacuated ? m_evacuated.emplace(domain, now).second : m_evacuated.erase(domain) > 0;
+    for (auto &[id, target] : m_targets) {
+        if (target.entry.domain == domain)
+            target.evacuated = evacuated;
+    }
+    return isNew;
+}
+
+std::uint64_t DirectTargets::openFlowsIn(const std::string &domain) const
+{
+    std::uint64_t flows = 0;
+    for (const auto &[id, target] : m_targets) {
+        if (target.entry.domain == domain)
+            flows += target.openFlows;
+    }
+    return flows;
+}
+
 void DirectTargets::refuse(TargetId id)
 {
     if (DirectTarget *target = find(id))
@@ -114,11 +136,18 @@
         return TargetBelief::Refused;
     if (target.entry.draining)
         return TargetBelief::Draining;
-    if (target.unanswered >= m_settings.suspectAfter && has(Mechanism::Suspicion))
+    if (target.evacuated)
+        return TargetBelief::Evacuated;
+    if (isSuspect(target))
         return TargetBelief::Suspect;
     return target.lapsedAt ? TargetBelief::Lapsed : TargetBelief::Trusted;
 }
 
+bool DirectTargets::isSuspect(const DirectTarget &target) const noexcept
+{
+    return target.unanswered >= m_settings.suspectAfter && has(Mechanism::Suspicion);
+}
+
 bool DirectTargets::takesFlows(const DirectTarget &target, TimePoint now) const noexcept
 {
     const TargetBelief belief = this->belief(target);
--- a/src/core/direct/direct_targets.h
+++ b/src/core/direct/direct_targets.h
@@ -9,7 +9,9 @@
 #include <boost/unordered/unordered_flat_map.hpp>
 
 #include <functional>
+#include <map>
 #include <optional>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -18,11 +20,12 @@
 /// \brief Why a target is thought of as it is.
 enum class TargetBelief {
     Trusted,
-    Suspect,  ///< Several flows got no answer from it, and none has since.
-    Draining, ///< Leaves; takes no new flow.
-    Lapsed,   ///< Its registration went with an outage of the store; it may come back.
-    Gone,     ///< No longer registered; open flows of its own still find it.
-    Refused,  ///< Its registration can't be read; takes no new flow until one can be.
+    Suspect,   ///< Several flows got no answer from it, and none has since.
+    Draining,  ///< Leaves; takes no new flow.
+    Evacuated, ///< The operator wants its failure domain empty; takes no new flow.
+    Lapsed,    ///< Its registration went with an outage of the store; it may come back.
+    Gone,      ///< No longer registered; open flows of its own still find it.
+    Refused,   ///< Its registration can't be read; takes no new flow until one can be.
 };
 
 /// \brief Bounds of what is concluded from segments that pass.
@@ -57,8 +60,9 @@
 struct DirectTarget
 {
     RegisteredTarget entry;
-    bool local = false;   ///< In this daemon's own failure domain.
-    bool refused = false; ///< \a entry is the last one that could be read; a newer one can't.
+    bool local = false;     ///< In this daemon's own failure domain.
+    bool evacuated = false; ///< Its failure domain is.
+    bool refused = false;   ///< \a entry is the last one that could be read; a newer one can't.
     /// Counts the starts under this id that were seen; a flow belongs to one of them.
     std::uint32_t incarnation = 0;
     std::optional<TimePoint> lapsedAt;
@@ -99,6 +103,16 @@
     void refuse(TargetId target);
     /// \param lapsed The store was away a moment ago: the target may live on.
     void remove(TargetId target, bool lapsed, TimePoint now);
+    /// \brief A failure domain gets no new flows from now on, or gets them again.
+    /// \return Whether that is new.
+    bool setEvacuated(const std::string &domain, bool evacuated, TimePoint now);
+    /// \return Failure domains that get no new flows, and since when this daemon knows.
+    [[nodiscard]] const std::map<std::string, TimePoint> &evacuatedDomains() const noexcept
+    {
+        return m_evacuated;
+    }
+    /// \return Flows of this daemon at the domain's targets.
+    [[nodiscard]] std::uint64_t openFlowsIn(const std::string &domain) const;
     /// \brief Forgets targets that are gone for longer than a flow lives, and ends lapses.
     /// \param ended Called for each target whose lapse has ended.
     void expire(TimePoint now, const std::function<void(const DirectTarget &)> &ended);
@@ -123,6 +137,8 @@
                                        Random &random);
 
     [[nodiscard]] TargetBelief belief(const DirectTarget &target) const noexcept;
+    /// \return Whether several flows got no answer from it; also where it leaves for another cause.
+    [[nodiscard]] bool isSuspect(const DirectTarget &target) const noexcept;
 
     // Evidence, from segments that pass.
 
@@ -148,6 +164,7 @@
     std::string m_domain;
     DirectSettings m_settings;
     LabelTable m_labels;
+    std::map<std::string, TimePoint> m_evacuated; ///< Failure domains.
     std::unordered_map<TargetId, DirectTarget> m_targets;
     std::unordered_map<ServiceId, std::vector<TargetId>> m_services;
     std::vector<DirectTarget *> m_near; ///< Kept between calls to save allocations.
--- a/src/core/directory/collection_copy.h
+++ b/src/core/directory/collection_copy.h
@@ -27,6 +27,16 @@
     CollectionChange change;
 };
 
+/// \brief What shows that a copy is the store's state.
+enum class Vouching {
+    /// The last time that the store confirmed it: its age counts.
+    Dated,
+    /// A watch that waits at the store: for a collection that hardly ever changes, where an answer
+    /// each second would cost more calls than all changes. Its age does not count; whoever is
+    /// confirmed in the others has the news of this one too.
+    Watched,
+};
+
 /// \brief A copy of one collection of the store's objects.
 ///
 /// Its version never goes back within the life of the process, whoever says so: an older state
@@ -34,6 +44,14 @@
 class CollectionCopy
 {
 public:
+    explicit CollectionCopy(Vouching vouching = Vouching::Dated) noexcept
+        : m_vouching(vouching)
+    {
+    }
+
+    /// \return Whether its age says how far it can be relied on.
+    [[nodiscard]] bool isDated() const noexcept { return m_vouching == Vouching::Dated; }
+
     /// \brief Takes a complete state.
     /// \return What it changed; nothing where it is older than the copy, or the same.
     std::optional<CollectionChange> takeAll(const std::vector<StoredObject> &objects,
@@ -78,6 +96,7 @@
     void remember(const CollectionChange &change);
     void keepOld(StoredObject object);
 
+    Vouching m_vouching;
     std::map<std::string, StoredObject> m_objects;
     std::uint64_t m_bytes = 0; ///< Of their values.
     ObjectVersion m_version;
--- a/src/core/directory/peer_copies.cpp
+++ b/src/core/directory/peer_copies.cpp
@@ -42,6 +42,8 @@
 {
     std::optional<TimePoint> oldest;
     for (const SharedCollection &each : m_collections) {
+        if (!each.copy->isDated())
+            continue;
         const auto confirmed = each.copy->confirmedAt();
         if (!confirmed)
             return std::nullopt;
@@ -52,11 +54,12 @@
 
 ObjectVersion PeerCopies::version() const
 {
-    const auto oldest = std::min_element(m_collections.begin(), m_collections.end(),
-                                         [](const auto &one, const auto &other) {
-                                             return one.copy->version() < other.copy->version();
-                                         });
-    return oldest == m_collections.end() ? ObjectVersion{} : oldest->copy->version();
+    std::optional<ObjectVersion> oldest;
+    for (const SharedCollection &each : m_collections) {
+        if (each.copy->isDated())
+            oldest = std::min(oldest.value_or(each.copy->version()), each.copy->version());
+    }
+    return oldest.value_or(ObjectVersion{});
 }
 
 std::vector<CollectionQuestion> PeerCopies::question() const
@@ -87,7 +90,9 @@
         const CollectionDelta &delta = answer.collections[index].delta;
         const CollectionChange &news = delta.change;
         if (news.version < collection.copy->version()) {
-            behind = true;
+            // The version of a watched copy grows with its changes only: a peer whose version is
+            // older lacks nothing as a rule, and what it lacks is on its way there.
+            behind = behind || collection.copy->isDated();
             continue;
         }
         const auto change = delta.complete ? collection.copy->takeAll(news.written, news.version,
--- a/src/core/directory/peer_copies.h
+++ b/src/core/directory/peer_copies.h
@@ -36,9 +36,9 @@
 
     /// \return Whether there is a copy of each collection.
     [[nodiscard]] bool complete() const;
-    /// \return Of the older one; nothing where one was never confirmed.
+    /// \return Of the older one of those that are dated; nothing where one was never confirmed.
     [[nodiscard]] std::optional<TimePoint> confirmedAt() const;
-    /// \return The oldest version.
+    /// \return The oldest version of those that are dated.
     [[nodiscard]] ObjectVersion version() const;
     [[nodiscard]] std::vector<CollectionQuestion> question() const;
 
--- a/src/core/directory/store_feed.cpp
+++ b/src/core/directory/store_feed.cpp
@@ -62,6 +62,12 @@
         list();
 }
 
+void StoreFeed::askAnew()
+{
+    if (m_running)
+        start(m_seldom);
+}
+
 void StoreFeed::stop()
 {
     ++*m_run;
--- a/src/core/directory/store_feed.h
+++ b/src/core/directory/store_feed.h
@@ -76,6 +76,8 @@
     /// call may wait on a connection that nobody answers any more.
     /// \param seldom Failed calls are repeated after longer times.
     void start(bool seldom = false);
+    /// \brief Gives up the watch that waits and asks at once; does nothing where none is running.
+    void askAnew();
     void stop();
     [[nodiscard]] bool running() const noexcept { return m_running; }
 
--- a/src/core/directory/view_relay.cpp
+++ b/src/core/directory/view_relay.cpp
@@ -35,6 +35,8 @@
 {
     Duration oldest{0};
     for (const CollectionQuestion &each : question.collections) {
+        if (!m_copies.at(each.prefix)->isDated())
+            continue;
         const auto confirmed = m_copies.at(each.prefix)->confirmedAt();
         if (!confirmed)
             return std::nullopt;
--- a/src/core/requests/dispatcher.cpp
+++ b/src/core/requests/dispatcher.cpp
@@ -403,7 +403,7 @@
 bool Dispatcher::leaving(TargetId target) const noexcept
 {
     const TargetConfig *config = m_context.target(target);
-    return !m_context.targets.owns(target) || !config || config->state != TargetState::Active;
+    return !m_context.targets.owns(target) || !config || !config->takesWork();
 }
 
 void Dispatcher::publishWaiting(TargetId target, const Line &line) noexcept
--- a/src/core/targets/impl/owner_side.cpp
+++ b/src/core/targets/impl/owner_side.cpp
@@ -39,7 +39,7 @@
 
 bool TargetTable::Impl::takesWork(const Record &record, TimePoint now) const noexcept
 {
-    if (record.config.state != TargetState::Active)
+    if (!record.config.takesWork())
         return false;
     if (!record.evidence.linkUp() || !record.evidence.identified())
         return false;
@@ -75,7 +75,7 @@
 
 bool TargetTable::Impl::takesFlow(const Record &record, TimePoint now) const noexcept
 {
-    if (record.config.state != TargetState::Active || !record.evidence.identified())
+    if (!record.config.takesWork() || !record.evidence.identified())
         return false;
     const Group *holder = group(record.service);
     if (holder && holder->doubt)
@@ -173,7 +173,7 @@
     std::size_t serving = 0;
     std::size_t dead = 0;
     for (const Record *record : holder.local) {
-        if (record->config.state != TargetState::Active)
+        if (!record->config.takesWork())
             continue;
         ++serving;
         const bool looksDead
--- a/src/core/targets/impl/placement.cpp
+++ b/src/core/targets/impl/placement.cpp
@@ -55,7 +55,7 @@
 bool TargetTable::Impl::placeable(const Record &record,
                                   const std::vector<LoadHint> &declined) noexcept
 {
-    if (record.config.state != TargetState::Active)
+    if (!record.config.takesWork())
         return false;
     if (!record.owner)
         return false;
--- a/src/daemon/direct/direct_log.cpp
+++ b/src/daemon/direct/direct_log.cpp
@@ -168,6 +168,17 @@
             .field("outcome", "everything is listed anew");
         return event;
     }
+    LogEvent operator()(const DomainEvacuated &in) const
+    {
+        LogEvent event{Severity::Info, Part::Config,
+                       in.ended ? "domain_restored" : "domain_evacuated"};
+        event.field("domain", in.domain)
+            .field("open_flows", in.openFlows)
+            .field("revision", in.version.value())
+            .field("outcome", in.ended ? "its targets get new flows again"
+                                       : "its targets get no new flows; open ones stay");
+        return event;
+    }
     LogEvent operator()(const WaitingFull &in) const
     {
         LogEvent event{Severity::Warning, Part::Flows, "waiting_full"};
@@ -304,7 +315,7 @@
 {
     constexpr std::array<std::string_view, std::variant_size_v<NodeNotice>> kinds{
         "routes_in_force", "object_refused", "store_contact", "peer_contact", "history_lost",
-        "waiting_full",    "stood_still",    "peer_question", "turning_away"};
+        "waiting_full",    "stood_still",    "peer_question", "turning_away", "domain_evacuated"};
     const auto *asked = std::get_if<PeerAsked>(&notice);
     if (asked)
         writeSearch(asked->end, now);
--- a/src/daemon/direct/direct_metrics.cpp
+++ b/src/daemon/direct/direct_metrics.cpp
@@ -95,9 +95,19 @@
     page.family("baobabtrail_targets", "gauge", "Targets, by what is believed of them.");
     for (std::size_t index = 0; index < beliefs.size(); ++index)
         page.sample({{"belief", TargetBeliefNames[index]}}, number(beliefs[index]));
+    writeDomains(page, node);
     writeOverload(page, node);
 }
 
+void DirectMetrics::writeDomains(Exposition &page, const DirectNode &node)
+{
+    const DirectTargets &targets = node.router().targets();
+    page.family("baobabtrail_domain_evacuated_flows", "gauge",
+                "Open flows of this daemon in failure domains that get no new ones.");
+    for (const auto &[domain, since] : targets.evacuatedDomains())
+        page.sample({{"domain", domain}}, static_cast<double>(targets.openFlowsIn(domain)));
+}
+
 void DirectMetrics::writeTree(Exposition &page, const DirectNode &node,
                               const HttpConnections &peers)
 {
--- a/src/daemon/direct/direct_metrics.h
+++ b/src/daemon/direct/direct_metrics.h
@@ -18,8 +18,8 @@
     "no_route",      "stale_view", "no_target",     "route_removed", "target_gone",
     "unknown_label", "held",       "absorbed",      "given_up"};
 /// Names of TargetBelief.
-inline constexpr std::array<std::string_view, 6> TargetBeliefNames{"trusted", "suspect", "draining",
-                                                                   "lapsed",  "gone",    "refused"};
+inline constexpr std::array<std::string_view, 7> TargetBeliefNames{
+    "trusted", "suspect", "draining", "evacuated", "lapsed", "gone", "refused"};
 /// Names of FlowTime.
 inline constexpr std::array<std::string_view, 3> FlowTimeNames{"open", "answer", "held"};
 
@@ -75,6 +75,7 @@
 
     [[nodiscard]] Service &entryOf(ServiceId service, const RouteTable &routes);
     static void writeNode(Exposition &page, const DirectNode &node);
+    static void writeDomains(Exposition &page, const DirectNode &node);
     static void writeOverload(Exposition &page, const DirectNode &node);
     void writeEvents(Exposition &page, std::uint64_t logLinesLeftOut) const;
     void writeServices(Exposition &page) const;
--- a/src/daemon/direct/direct_tables.cpp
+++ b/src/daemon/direct/direct_tables.cpp
@@ -41,8 +41,9 @@
 
 [[nodiscard]] bool leaves(TargetBelief belief) noexcept
 {
-    return belief == TargetBelief::Draining || belief == TargetBelief::Lapsed
-           || belief == TargetBelief::Gone || belief == TargetBelief::Refused;
+    return belief == TargetBelief::Draining || belief == TargetBelief::Evacuated
+           || belief == TargetBelief::Lapsed || belief == TargetBelief::Gone
+           || belief == TargetBelief::Refused;
 }
 
 /// \return Requests that a saturated target may have at once.
@@ -175,6 +176,38 @@
     return result;
 }
 
+[[nodiscard]] Result domainsTable(const DirectBackend &backend)
+{
+    struct Counts
+    {
+        std::size_t targets = 0;
+        std::size_t takesFlows = 0;
+        std::uint64_t flows = 0;
+    };
+    const DirectTargets &targets = backend.node->router().targets();
+    std::map<std::string, Counts> domains;
+    for (const auto &[domain, since] : targets.evacuatedDomains())
+        domains[domain];
+    for (const auto &[id, target] : targets.all()) {
+        Counts &counts = domains[target.entry.domain];
+        const TargetBelief belief = targets.belief(target);
+        counts.targets += belief != TargetBelief::Gone;
+        counts.takesFlows += belief == TargetBelief::Trusted;
+        counts.flows += target.openFlows;
+    }
+    Result result;
+    result.columns = {"domain", "state", "for-ms", "targets", "trusted", "flows"};
+    for (const auto &[domain, counts] : domains) {
+        const auto evacuated = targets.evacuatedDomains().find(domain);
+        const bool isEvacuated = evacuated != targets.evacuatedDomains().end();
+        result.rows.push_back(
+            {domain, isEvacuated ? "evacuated" : "in-use",
+             isEvacuated ? milliseconds(backend.now - evacuated->second) : NotKnown,
+             text(counts.targets), text(counts.takesFlows), text(counts.flows)});
+    }
+    return result;
+}
+
 [[nodiscard]] Result tableOf(const DirectBackend &backend, language::Table table)
 {
     switch (table) {
@@ -188,6 +221,8 @@
         return daemonsTable(backend);
     case language::Table::Distribution:
         return distributionTable(backend);
+    case language::Table::Domains:
+        return domainsTable(backend);
     case language::Table::Changes:
         break;
     }
@@ -223,7 +258,8 @@
     Result operator()(const Other &) const
     {
         return {Status::Refused,
-                {"with direct forwarding, routes and targets are changed in the platform's store; "
+                {"with direct forwarding, routes, targets and evacuations are changed in the "
+                 "platform's store; "
                  "this daemon only shows what is in force"},
                 {},
                 {}};
--- a/src/language/impl/queries.cpp
+++ b/src/language/impl/queries.cpp
@@ -22,6 +22,8 @@
         return changesTable(backend);
     case Table::Drains:
         return drainsTable(backend);
+    case Table::Domains:
+        return domainsTable(backend);
     case Table::Distribution:
         return {Status::Refused,
                 {"only daemons with direct forwarding have their view from each other; ask for the "
--- a/src/language/impl/tables.cpp
+++ b/src/language/impl/tables.cpp
@@ -139,6 +139,8 @@
         return "move target " + name(c.target) + " to " + name(c.to);
     }
     std::string operator()(const RotateKeys &c) const { return "rotate keys to " + text(c.epoch); }
+    std::string operator()(const EvacuateDomain &c) const { return "evacuate domain " + c.domain; }
+    std::string operator()(const RestoreDomain &c) const { return "restore domain " + c.domain; }
 };
 
 } // namespace
@@ -272,4 +274,45 @@
     return result;
 }
 
+Result domainsTable(const Backend &backend)
+{
+    struct Counts
+    {
+        std::size_t targets = 0;
+        std::size_t takesWork = 0;
+        std::uint64_t connections = 0;
+        std::uint64_t running = 0;
+    };
+    const ConfigPtr config = backend.config();
+    const StatusById statuses = statusById(backend);
+    std::map<std::string, Counts> domains;
+    for (const auto &[serviceId, service] : config->services) {
+        for (const auto &[id, target] : service.targets) {
+            Counts &counts = domains[target.domain];
+            ++counts.targets;
+            counts.takesWork += target.takesWork();
+            const auto status = statuses.find(id);
+            if (status == statuses.end())
+                continue;
+            counts.connections += status->second.reported.connections;
+            counts.running += status->second.running;
+        }
+    }
+    Result result;
+    result.columns
+        = {"domain", "state", "since", "when", "targets", "takes-work", "connections", "running"};
+    for (const auto &[domain, counts] : domains) {
+        const auto evacuation = config->evacuations.find(domain);
+        const bool evacuated = evacuation != config->evacuations.end();
+        const std::string when = evacuated ? utc(std::chrono::sys_seconds{
+                                     std::chrono::seconds{evacuation->second.sinceUnixSeconds}})
+                                           : NotKnownHere;
+        result.rows.push_back({domain, evacuated ? "evacuated" : "in-use",
+                               evacuated ? text(evacuation->second.since) : NotKnownHere, when,
+                               text(counts.targets), text(counts.takesWork),
+                               text(counts.connections), text(counts.running)});
+    }
+    return result;
+}
+
 } // namespace baobabtrail::language::impl
--- a/src/language/impl/tables.h
+++ b/src/language/impl/tables.h
@@ -13,6 +13,8 @@
 [[nodiscard]] Result changesTable(const Backend &backend);
 /// \brief Targets that are leaving, and what each still holds.
 [[nodiscard]] Result drainsTable(const Backend &backend);
+/// \brief Failure domains: which are evacuated, and what this daemon's targets there still hold.
+[[nodiscard]] Result domainsTable(const Backend &backend);
 
 [[nodiscard]] std::string toString(MemberState state);
 [[nodiscard]] std::string toString(TargetHealth health);
--- a/src/language/parse.cpp
+++ b/src/language/parse.cpp
@@ -182,6 +182,9 @@
 const x3::rule<struct RotateRule, Command> Rotate{"keys to NUMBER"};
 const auto Rotate_def = (keyword("keys") > keyword("to") > Epoch)[Make<RotateKeys>];
 
+const x3::rule<struct DomainObjectRule, std::string> DomainObject{"domain NAME"};
+const auto DomainObject_def = keyword("domain") > Name;
+
 const x3::rule<struct OneCommandRule, Command> OneCommand{"a command"};
 const auto OneCommand_def = (keyword("declare") > Declare)[Assign] | (keyword("set") > Set)[Assign]
                             | (keyword("add") > Add)[Assign] | (keyword("move") > Move)[Assign]
@@ -189,7 +192,9 @@
                             | (keyword("drain") > TargetObject)[Make<DrainTarget>]
                             | (keyword("undrain") > TargetObject)[Make<UndrainTarget>]
                             | (keyword("retire") > TargetObject)[Make<RetireTarget>]
-                            | (keyword("cut") > TargetObject)[Make<CutTarget>];
+                            | (keyword("cut") > TargetObject)[Make<CutTarget>]
+                            | (keyword("evacuate") > DomainObject)[Make<EvacuateDomain>]
+                            | (keyword("restore") > DomainObject)[Make<RestoreDomain>];
 
 const x3::rule<struct CommandsRule, std::vector<Command>> Commands{"a command"};
 const auto Commands_def = OneCommand % ';';
@@ -212,7 +217,8 @@
     {"author", "author"}, {"revision", "revision"}, {"change", "change"}};
 const Words<Table> Tables{{"services", Table::Services}, {"targets", Table::Targets},
                           {"daemons", Table::Daemons},   {"changes", Table::Changes},
-                          {"drains", Table::Drains},     {"distribution", Table::Distribution}};
+                          {"drains", Table::Drains},     {"distribution", Table::Distribution},
+                          {"domains", Table::Domains}};
 const Words<bool> Relations{{"=", false}, {"!=", true}};
 
 const x3::rule<struct ColumnRule, std::string> Column{"a column"};
@@ -232,7 +238,7 @@
 const auto TableWord_def = x3::lexeme[Tables >> !WordLetter];
 
 const x3::rule<struct ShowObjectRule, Statement> ShowObject{
-    "services, targets, daemons, changes, drains, distribution, revision, change ID or "
+    "services, targets, daemons, domains, changes, drains, distribution, revision, change ID or "
     "metrics"};
 const auto ShowObject_def
     = (TableWord > Filters)[MakeOfTwo<Show>] | keyword("revision")[MakeEmpty<ShowRevision>]
@@ -269,9 +275,8 @@
       | (keyword("request") > RequestNumber > Hexadecimal)[MakeOfTwo<ExplainRequest>];
 
 const x3::rule<struct OneStatementRule, Statement> OneStatement{
-    "show, wait, explain, help or a command: declare, add, drain, undrain, retire, cut, move, set "
-    "or "
-    "rotate"};
+    "show, wait, explain, help or a command: declare, add, drain, undrain, retire, cut, move, "
+    "evacuate, restore, set or rotate"};
 const auto OneStatement_def = (keyword("show") > ShowObject)[Assign]
                               | (keyword("wait") > WaitObject)[Assign]
                               | (keyword("explain") > ExplainObject)[Assign]
@@ -284,9 +289,9 @@
                     KeyHash, Seconds, LimitSettingList, Limits, TargetSettingList,
                     CompleteTargetSettings, DeclareTenantRule, DeclareServiceRule, Declare,
                     SetLimitsRule, SetWeightRule, Set, TargetObject, Add, Move, Epoch, Rotate,
-                    OneCommand, Commands, Column, OneFilter, FilterList, Filters, TableWord,
-                    ShowObject, RevisionNumber, WaitSubject, WaitTimeout, WaitObject, Hexadecimal,
-                    FlowNumber, RequestNumber, ExplainObject, OneStatement, Root)
+                    DomainObject, OneCommand, Commands, Column, OneFilter, FilterList, Filters,
+                    TableWord, ShowObject, RevisionNumber, WaitSubject, WaitTimeout, WaitObject,
+                    Hexadecimal, FlowNumber, RequestNumber, ExplainObject, OneStatement, Root)
 // NOLINTEND(readability-identifier-naming)
 
 [[nodiscard]] SyntaxError errorAt(std::string_view text, Iterator where, std::string expected)
@@ -327,6 +332,7 @@
     return R"(Queries:
   show services [where COLUMN = VALUE and COLUMN != VALUE ...]
   show targets | daemons | changes | drains [where ...]
+  show domains             failure domains: which get no new work, and what is still open there
   show distribution        where the daemon has its routes and targets from, and how old they are
   show revision            which revision is in force on which daemon
   show change ID           whether a change was accepted, and where it is in force
@@ -341,6 +347,7 @@
   add target TENANT/SERVICE/TARGET domain NAME flows IP:PORT requests IP:PORT [slots N] [weight N]
   drain | undrain | retire | cut target TENANT/SERVICE/TARGET
   move target TENANT/SERVICE/TARGET to TENANT/SERVICE
+  evacuate | restore domain NAME
   set limits TENANT/SERVICE [queue N] [share N] [retries PERCENT]
   set weight TENANT/SERVICE/TARGET N
   rotate keys to EPOCH
--- a/src/language/statement.h
+++ b/src/language/statement.h
@@ -10,7 +10,7 @@
 
 namespace baobabtrail::language {
 
-enum class Table { Services, Targets, Daemons, Changes, Drains, Distribution };
+enum class Table { Services, Targets, Daemons, Changes, Drains, Distribution, Domains };
 
 /// \brief Keeps the rows whose column has, or has not, a value.
 struct Filter
--- a/tests/config/apply_test.cpp
+++ b/tests/config/apply_test.cpp
@@ -87,6 +87,9 @@
         {MoveTarget{T1, {"alexandria", "lending"}}, "already"},
         {RotateKeys{KeyEpoch{3}}, "expected epoch 2"},
         {RotateKeys{KeyEpoch{}}, "epoch 0"},
+        {EvacuateDomain{"nowhere"}, "no target is in it"},
+        {EvacuateDomain{""}, "failure domain name \"\" is empty"},
+        {RestoreDomain{"alx-raml"}, "is not evacuated"},
     };
     std::vector<Command> all;
     for (const auto &[command, finding] : refused) {
@@ -104,6 +107,24 @@
     expectFinding(applyRecord(steps.config, unnamed), "revision: is not the one after 1");
 }
 
+// Guards against an evacuation that is lost by a daemon that boots from a snapshot, or that a
+// target added meanwhile escapes.
+Test(apply, anEvacuatedDomainStaysSoUntilItIsRestored)
+{
+    Steps steps = declared();
+    steps.apply({EvacuateDomain{"alx-raml"}});
+    expectFinding(steps.attempt({EvacuateDomain{"alx-raml"}}), "is evacuated already");
+    expectFinding(steps.attempt({RestoreDomain{"alx-raml"}}, "alexandria"), "may not change this");
+    steps.apply({addTarget("lending", "t2", 2)});
+    const auto decoded = decodeSnapshot(encodeSnapshot({steps.config, {}}));
+    cr_assert(std::get<Snapshot>(decoded).config == steps.config);
+    for (const char *name : {"t1", "t2"})
+        cr_assert(!steps.target(targetName("lending", name))->takesWork());
+    steps.apply({RestoreDomain{"alx-raml"}});
+    for (const char *name : {"t1", "t2"})
+        cr_assert(steps.target(targetName("lending", name))->takesWork());
+}
+
 Test(apply, statesFollowTheirOrder)
 {
     using enum TargetState;
--- a/tests/config/record_codec_test.cpp
+++ b/tests/config/record_codec_test.cpp
@@ -22,7 +22,8 @@
                          addTarget("lending", "t1", 1), DrainTarget{t1}, UndrainTarget{t1},
                          RetireTarget{t1}, RemoveTarget{t1, Generation{1ULL << 63}}, CutTarget{t1},
                          SetLimits{lending, {1, 2, 3}}, SetWeight{t1, 40},
-                         MoveTarget{t1, {"alexandria", "catalogue"}}, RotateKeys{KeyEpoch{2}}});
+                         MoveTarget{t1, {"alexandria", "catalogue"}}, RotateKeys{KeyEpoch{2}},
+                         EvacuateDomain{"alx-raml"}, RestoreDomain{"alx-raml"}});
     record.revision = Revision{(1ULL << 63) + 5};
     record.author = "Ann \"quoted\" \xc3\xa9";
     record.tenant = "alexandria";
--- a/tests/language/parse_test.cpp
+++ b/tests/language/parse_test.cpp
@@ -110,7 +110,8 @@
         {"show revision now", "column 15: expected the end of the statement, found 'now'"},
         {"",
          "column 1: expected show, wait, explain, help or a command: declare, add, drain, undrain, "
-         "retire, cut, move, set or rotate, found the end"},
+         "retire, cut, move, evacuate, restore, set or rotate, found the end"},
+        {"evacuate alx-raml", "column 10: expected domain NAME, found 'alx-raml'"},
     };
     for (const Case &each : cases) {
         const std::string error = errorOf(each.text);
--- a/tests/support/cluster_checks.h
+++ b/tests/support/cluster_checks.h
@@ -38,4 +38,25 @@
     cluster.store.put(DirectCluster::targetKey(target), state);
 }
 
+/// \return Daemons that would place no new flow in the failure domain.
+[[nodiscard]] inline std::size_t evacuating(DirectCluster &cluster, const std::string &domain)
+{
+    std::size_t count = 0;
+    for (std::size_t index = 0; index < cluster.size(); ++index) {
+        DirectNode *node = cluster.node(index);
+        count += node && node->ready()
+                 && node->router().targets().evacuatedDomains().contains(domain);
+    }
+    return count;
+}
+
+inline void evacuate(DirectCluster &cluster, const std::string &domain)
+{
+    cluster.store.put("evacuations/" + domain, "{}");
+}
+inline void restore(DirectCluster &cluster, const std::string &domain)
+{
+    cluster.store.erase("evacuations/" + domain);
+}
+
 } // namespace baobabtrail::test
--- a/tests/support/fake_directory_store.h
+++ b/tests/support/fake_directory_store.h
@@ -50,6 +50,13 @@
     /// \return Of these, the ones whose answers might be old; they cost a tenth.
     [[nodiscard]] std::uint64_t cheapCalls() const noexcept { return m_cheapCalls; }
 
+    /// \return Calls for one collection.
+    [[nodiscard]] std::uint64_t callsOn(std::string_view prefix) const
+    {
+        const auto found = m_callsOn.find(prefix);
+        return found == m_callsOn.end() ? 0 : found->second;
+    }
+
     std::size_t pageObjects = 500; ///< Most objects that a list gives at once.
 
     // Faults.
@@ -81,6 +88,7 @@
     {
         ++m_calls;
         const auto *list = std::get_if<ListObjects>(&request);
+        ++m_callsOn[list ? list->prefix : std::get<WatchObjects>(request).prefix];
         m_cheapCalls += list && list->mayBeOld;
         if (cut.contains(caller) || silent) {
             const auto *watch = std::get_if<WatchObjects>(&request);
@@ -226,6 +234,7 @@
     std::uint64_t m_lastWatch = 0;
     std::uint64_t m_calls = 0;
     std::uint64_t m_cheapCalls = 0;
+    std::map<std::string, std::uint64_t, std::less<>> m_callsOn;
     std::map<std::string, StoredObject> m_oldObjects;
     std::uint64_t m_oldRevision = 0;
     bool m_lags = false;
--- a/tests/targets/placement_test.cpp
+++ b/tests/targets/placement_test.cpp
@@ -65,6 +65,20 @@
     cr_assert_eq(counts.at(Fleet::target(0)), 20);
 }
 
+// Guards against new work for targets of an evacuated failure domain, on whichever way they look
+// least loaded.
+Test(placement, targetsOfAnEvacuatedDomainGetNothing)
+{
+    const auto fleet = withoutOwn();
+    for (std::size_t i = 2; i < 10; ++i)
+        fleet->targetConfig(i).evacuated = true;
+    fleet->apply();
+    for (std::size_t i = 0; i < 10; ++i)
+        fleet->table.hint({Fleet::target(i), i < 2 ? 5.0F : 0.0F, 0.0F}, fleet->now);
+    const std::map<TargetId, int> counts = countChoices(*fleet, 30);
+    cr_assert_eq(counts.at(Fleet::target(0)) + counts.at(Fleet::target(1)), 30);
+}
+
 // An owner died and the view still shows it alive; asks to it get no answer.
 // After three of them this daemon asks others, and tries the silent one once a second.
 Test(placement, silentOwnersAreAvoided)
