Soak: keep the logs of seeds that find something, and let targets remember ended flows

Sight: each seed writes the daemons' logs, the faults with their times and each run of a target (request, incarnation, caller, daemon, time) into a directory of its own, which goes where nothing was found. Nobody has to ask for it.

A cause that the stand-in allowed: its target forgot a flow at its end. A daemon that was paused brings a copy of the opening and the request of before the end; the target took both for a new flow and ran the request again.

The check is as strict as before: a second run at any target still counts.

--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -12,8 +12,12 @@
 #include <boost/random/uniform_int_distribution.hpp>
 #include <gflags/gflags.h>
 
+#include <filesystem>
+#include <fstream>
 #include <iostream>
 
+#include <unistd.h>
+
 DEFINE_uint64(seed, 1, "first seed");
 DEFINE_uint64(seeds, 1, "seeds to run, one after the other");
 DEFINE_uint32(seconds, 20, "time with faults, for each seed");
@@ -21,6 +25,8 @@
 DEFINE_uint32(targets, 10, "targets at the start");
 DEFINE_uint32(callers, 16, "callers, each with a feed");
 DEFINE_bool(verbose, false, "print each fault, and what the daemons print");
+DEFINE_string(keep, BAOBABTRAIL_BINARY_DIR "/soak",
+              "directory for the logs of seeds that find something");
 
 namespace {
 
@@ -28,19 +34,76 @@
 using namespace baobabtrail::standins;
 using namespace std::chrono_literals;
 
+/// \brief What one seed leaves behind: the daemons' logs, the faults with their times, and what
+/// each target ran. Goes with its owner unless it is kept.
+class SoakLogs
+{
+public:
+    explicit SoakLogs(std::uint64_t seed)
+        : m_directory(std::filesystem::path{FLAGS_keep}
+                      / ("seed-" + std::to_string(seed) + '-' + std::to_string(getpid())))
+    {
+        std::filesystem::create_directories(m_directory);
+        m_faults.open(m_directory / "faults.log");
+    }
+    ~SoakLogs()
+    {
+        std::error_code ignored; // What can't be removed is only left over.
+        if (!m_kept)
+            std::filesystem::remove_all(m_directory, ignored);
+    }
+    SoakLogs(const SoakLogs &) = delete;
+    SoakLogs &operator=(const SoakLogs &) = delete;
+
+    [[nodiscard]] std::string directory() const { return m_directory; }
+
+    void fault(const std::string &what)
+    {
+        m_faults << unixMillis(std::chrono::system_clock::now()) << ' ' << what << std::endl;
+    }
+
+    /// \return The directory.
+    std::string keep(const TargetLog &targets)
+    {
+        m_kept = true;
+        std::ofstream runs{m_directory / "runs.log"};
+        for (const TargetRun &run : targets.record)
+            runs << unixMillis(run.at) << " request " << run.request << " target " << run.target
+                 << " caller " << toString(run.caller) << " daemon " << toString(run.daemon)
+                 << (targets.runs.at(run.request) > 1 ? " TWICE" : "") << '\n';
+        return m_directory;
+    }
+
+private:
+    [[nodiscard]] static std::int64_t unixMillis(std::chrono::system_clock::time_point time)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch())
+            .count();
+    }
+
+    std::filesystem::path m_directory;
+    std::ofstream m_faults;
+    bool m_kept = false;
+};
+
 /// \brief One seed: a system, its faults, and the verdict.
 class Soak
 {
 public:
     explicit Soak(std::uint64_t seed)
-        : m_random(seed)
+        : m_logs(seed)
+        , m_random(seed)
         , m_largeRandom(~seed)
         , m_world(FLAGS_daemons, std::min<std::size_t>(3, FLAGS_daemons), FLAGS_callers)
     {
-        if (FLAGS_verbose)
-            m_world.output = test::Process::Output::Inherited;
+        m_world.output
+            = FLAGS_verbose ? test::Process::Output::Inherited : test::Process::Output::File;
+        m_world.logDirectory = m_logs.directory();
     }
 
+    /// \return Where the logs are; they stay there.
+    [[nodiscard]] std::string keepLogs() { return m_logs.keep(m_world.targetLog); }
+
     /// \return What was broken; empty for nothing.
     std::vector<std::string> run()
     {
@@ -67,8 +130,9 @@
         return static_cast<std::size_t>(draw(0, static_cast<int>(FLAGS_daemons) - 1));
     }
 
-    void say(const std::string &what) const
+    void say(const std::string &what)
     {
+        m_logs.fault(what);
         if (FLAGS_verbose)
             std::cerr << "fault: " << what << '\n';
     }
@@ -352,6 +416,7 @@
             m_findings.push_back(finding);
     }
 
+    SoakLogs m_logs;
     Random m_random;
     Random m_largeRandom;
     World m_world;
@@ -364,19 +429,35 @@
     std::vector<std::string> m_findings;
 };
 
-} // namespace
-
-int main(int argc, char **argv)
+/// \return Findings of all seeds.
+std::size_t runSeeds()
 {
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
     std::size_t failed = 0;
     for (std::uint64_t seed = FLAGS_seed; seed < FLAGS_seed + FLAGS_seeds; ++seed) {
         std::cout << "seed " << seed << ": " << std::flush;
-        for (const std::string &finding : Soak{seed}.run()) {
+        Soak soak{seed};
+        const std::vector<std::string> findings = soak.run();
+        for (const std::string &finding : findings)
             std::cout << "seed " << seed << " FAILED: " << finding << '\n';
-            ++failed;
-        }
+        if (!findings.empty())
+            std::cout << "seed " << seed << ": logs in " << soak.keepLogs() << '\n';
+        failed += findings.size();
     }
     std::cout << failed << " findings in " << FLAGS_seeds << " seeds\n";
-    return failed == 0 ? 0 : 1;
+    return failed;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage("strikes real daemons with faults from outside, and judges what callers"
+                            " and targets see");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    try {
+        return runSeeds() == 0 ? 0 : 1;
+    } catch (const std::exception &error) {
+        std::cerr << "the soak can't run: " << error.what() << '\n';
+        return 2;
+    }
 }
--- a/standins/direct/caller.h
+++ b/standins/direct/caller.h
@@ -62,7 +62,8 @@
     Caller(boost::asio::io_context &context, const Endpoint &address, const Rotation &rotation,
            std::function<bool(const Endpoint &route)> endExpected, CallerLog &log)
         : m_context(context)
-        , m_end(context, address, [this](std::string_view bytes) { receive(bytes); })
+        , m_end(context, address,
+                [this](std::string_view bytes, const Endpoint &) { receive(bytes); })
         , m_address(address)
         , m_rotation(rotation)
         , m_endExpected(std::move(endExpected))
--- a/standins/direct/target.h
+++ b/standins/direct/target.h
@@ -8,14 +8,27 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace baobabtrail::standins {
 
+/// \brief A request that a target ran.
+struct TargetRun
+{
+    std::string request;
+    std::uint64_t target = 0; ///< Each start of a target has an id of its own.
+    Endpoint caller;
+    Endpoint daemon; ///< That brought the request.
+    std::chrono::system_clock::time_point at;
+};
+
 /// \brief What all targets of a run have seen.
 struct TargetLog
 {
     std::map<std::string, int> runs; ///< By request.
+    std::vector<TargetRun> record;   ///< Each run, in order.
     std::size_t wrongService = 0;    ///< Requests for another service than the target's.
     std::size_t lateOpens = 0;       ///< Flows that opened at a target drained long before.
 };
@@ -33,7 +46,8 @@
            std::string service, std::uint16_t callerPort, std::chrono::milliseconds work,
            TargetLog &log)
         : m_context(context)
-        , m_end(context, address, [this](std::string_view bytes) { receive(bytes); })
+        , m_end(context, address,
+                [this](std::string_view bytes, const Endpoint &daemon) { receive(bytes, daemon); })
         , m_address(address)
         , m_id(id)
         , m_service(std::move(service))
@@ -54,6 +68,7 @@
     struct Flow
     {
         bool open = false;
+        bool ended = false; ///< Remembered: copies of its segments may still be on their way.
         std::uint32_t echo = 0;
         std::uint32_t received = 0; ///< Sequence number behind the caller's last byte.
         std::uint32_t sent = 0;     ///< Sequence number of the next byte.
@@ -67,7 +82,7 @@
         return static_cast<std::uint32_t>(m_id) * apart;
     }
 
-    void receive(std::string_view bytes)
+    void receive(std::string_view bytes, const Endpoint &daemon)
     {
         constexpr std::size_t prefix = 8;
         if (bytes.size() < prefix || Packet::take<std::uint64_t>(bytes, 0) != m_id)
@@ -80,6 +95,8 @@
             // A copy that was held up on its way changes nothing at a flow that is open.
             const auto [place, isNew] = m_flows.try_emplace(key);
             Flow &flow = place->second;
+            if (flow.ended)
+                return;
             flow.echo = packet->echo;
             if (isNew) {
                 flow.received = packet->seq + 1;
@@ -97,18 +114,22 @@
             reply(*packet, packet->ack, Packet::Rst, none, {});
             return;
         }
-        found->second.echo = packet->echo;
+        Flow &flow = found->second;
+        flow.echo = packet->echo;
         if (packet->has(Packet::Fin) || packet->has(Packet::Rst)) {
-            m_flows.erase(found);
+            flow.ended = true;
+            return;
+        }
+        if (flow.ended) {
+            reply(*packet, packet->ack, Packet::Rst, flow, {});
             return;
         }
-        Flow &flow = found->second;
         flow.open = flow.open || packet->ack == firstSequence() + 1;
         if (flow.open && !packet->data.empty())
-            request(*packet, flow);
+            request(*packet, flow, daemon);
     }
 
-    void request(const Packet &packet, Flow &flow)
+    void request(const Packet &packet, Flow &flow, const Endpoint &daemon)
     {
         if (packet.seq != flow.received) {
             // Sent again: the answer was lost, or is not there yet.
@@ -124,6 +145,7 @@
             ++m_log.wrongService;
         const std::string id = packet.data.substr(space + 1);
         ++m_log.runs[id];
+        m_log.record.push_back({id, m_id, packet.source, daemon, std::chrono::system_clock::now()});
         auto timer = std::make_shared<boost::asio::steady_timer>(m_context, m_work);
         timer->async_wait([this, timer, packet, id,
                            alive = std::weak_ptr{m_alive}](boost::system::error_code error) {
--- a/standins/direct/udp_end.h
+++ b/standins/direct/udp_end.h
@@ -16,7 +16,7 @@
 class UdpEnd
 {
 public:
-    using Receive = std::function<void(std::string_view bytes)>;
+    using Receive = std::function<void(std::string_view bytes, const Endpoint &sender)>;
 
     UdpEnd(boost::asio::io_context &context, const Endpoint &local, Receive receive)
         : m_socket(context, {boost::asio::ip::address_v4{local.address}, local.port})
@@ -37,17 +37,20 @@
 private:
     void read()
     {
-        m_socket.async_receive(boost::asio::buffer(m_buffer),
-                               [this](boost::system::error_code error, std::size_t size) {
-                                   if (error == boost::asio::error::operation_aborted)
-                                       return;
-                                   if (!error)
-                                       m_receive({m_buffer.data(), size});
-                                   read();
-                               });
+        m_socket.async_receive_from(
+            boost::asio::buffer(m_buffer), m_sender,
+            [this](boost::system::error_code error, std::size_t size) {
+                if (error == boost::asio::error::operation_aborted)
+                    return;
+                if (!error)
+                    m_receive({m_buffer.data(), size},
+                              {m_sender.address().to_v4().to_uint(), m_sender.port()});
+                read();
+            });
     }
 
     boost::asio::ip::udp::socket m_socket;
+    boost::asio::ip::udp::endpoint m_sender; ///< Of what is being read.
     Receive m_receive;
     std::array<char, 2048> m_buffer{};
 };
--- a/standins/direct/world.h
+++ b/standins/direct/world.h
@@ -80,7 +80,8 @@
     void startDaemon(std::size_t index)
     {
         m_daemons[index] = std::make_unique<test::Process>(
-            "baobabtraild", std::vector<std::string>{"--settings=" + writeSettings(index)}, output);
+            "baobabtraild", std::vector<std::string>{"--settings=" + writeSettings(index)}, output,
+            logDirectory + "/daemon" + std::to_string(index) + ".log");
     }
 
     /// \brief Signals a daemon; SIGKILL also forgets it.
@@ -193,6 +194,7 @@
     CallerLog callerLog;
     TargetLog targetLog;
     test::Process::Output output = test::Process::Output::Hidden;
+    std::string logDirectory; ///< Of the daemons, where \a output is File.
 
     /// \return Where a daemon's metrics are, and where it can be asked with baobabctl.
     [[nodiscard]] Endpoint administrationOf(std::size_t index) const
--- /dev/null
+++ b/tests/standins/direct_target_test.cpp
@@ -0,0 +1,71 @@
+#include "direct/target.h"
+#include "support/free_ports.h"
+
+#include <criterion/criterion.h>
+
+using namespace baobabtrail;
+using namespace baobabtrail::standins;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t Id = 7;
+constexpr std::uint32_t CallerSequence = 100;
+constexpr std::uint32_t TargetSequence = 700000; ///< Of a target with this id.
+
+/// \brief A target, and packets to it as a daemon sends them.
+struct Rig
+{
+    explicit Rig(const test::Ports &ports = test::freePorts(2))
+        : target(context, {Loopback, ports[0]}, Id, "lending", ports[1], 1ms, log)
+        , daemon(context, {Loopback, 0}, [](std::string_view, const Endpoint &) {})
+        , caller{Loopback, ports[1]}
+    {
+    }
+
+    void send(std::uint8_t flags, std::uint32_t seq, std::uint32_t ack, const std::string &data)
+    {
+        Packet packet;
+        packet.seq = seq;
+        packet.ack = ack;
+        packet.sum = 1;
+        packet.source = caller;
+        packet.destination = {0xC6120001, 443};
+        packet.flags = flags;
+        packet.data = data;
+        constexpr std::string_view prefix{"\0\0\0\0\0\0\0\7", 8};
+        daemon.send(target.address(), std::string{prefix} + packet.bytes());
+        context.restart();
+        context.run_for(20ms);
+    }
+
+    static constexpr std::uint32_t Loopback = 0x7F000001;
+    boost::asio::io_context context;
+    TargetLog log;
+    Target target;
+    UdpEnd daemon;
+    Endpoint caller;
+};
+
+} // namespace
+
+// Guards against a request that counts as run twice: a paused daemon brings a copy of its flow's
+// opening and then of the request, both of before the flow's end.
+Test(directTarget, anEndedFlowRunsNothingMore)
+{
+    Rig rig;
+    const std::string request = "lending 1";
+    const auto openAndAsk = [&] {
+        rig.send(Packet::Syn, CallerSequence, 0, "");
+        rig.send(Packet::Ack, CallerSequence + 1, TargetSequence + 1, request);
+    };
+    openAndAsk();
+    cr_assert_eq(rig.log.runs.at("1"), 1);
+    cr_assert_eq(rig.log.record.size(), 1U);
+    cr_assert(rig.log.record.front().target == Id && rig.log.record.front().caller == rig.caller);
+    rig.send(Packet::Ack | Packet::Fin,
+             CallerSequence + 1 + static_cast<std::uint32_t>(request.size()), TargetSequence + 2,
+             "");
+    openAndAsk();
+    cr_assert_eq(rig.log.runs.at("1"), 1);
+}
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <cstdint>
 #include <cstdio>
+#include <cstring>
 #include <map>
 #include <memory>
 #include <set>
@@ -56,13 +57,14 @@
 class Process
 {
 public:
-    enum class Output { Ready, Hidden, Inherited, Unread };
+    enum class Output { Ready, Hidden, Inherited, Unread, File };
 
     /// \param output Ready: waits for the line "ready NAME=PORT ..." on standard output. Hidden:
     /// drops what it prints. Inherited: it prints to where the test prints. Unread: it prints into
-    /// a pipe that nobody reads.
+    /// a pipe that nobody reads. File: it is appended to \a file.
     Process(const std::string &program, std::vector<std::string> arguments,
-            Output output = Output::Ready)
+            Output output = Output::Ready, std::string file = {})
+        : m_file(std::move(file))
     {
         int ends[2];
         if (pipe2(ends, O_CLOEXEC) != 0)
@@ -146,21 +148,25 @@
         if (output == Output::Ready || output == Output::Unread)
             posix_spawn_file_actions_adddup2(&actions, pipeEnd, STDOUT_FILENO);
         else if (output == Output::Hidden)
-            hide(actions);
+            writeTo("/dev/null", actions);
+        else if (output == Output::File)
+            writeTo(m_file.c_str(), actions);
         // Sockets of the test that the program held too would stay bound after the test closed
         // them.
         posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
         const int error = posix_spawn(&m_id, path.c_str(), &actions, nullptr, argv.data(), environ);
         posix_spawn_file_actions_destroy(&actions);
         if (error != 0)
-            throw std::runtime_error("can't start " + path);
+            throw std::runtime_error("can't start " + path + ": " + std::strerror(error));
         Leftovers::instance().add(m_id);
     }
 
-    static void hide(posix_spawn_file_actions_t &actions)
+    static void writeTo(const char *file, posix_spawn_file_actions_t &actions)
     {
+        constexpr mode_t readableByAll = 0644;
         for (const int handle : {STDOUT_FILENO, STDERR_FILENO})
-            posix_spawn_file_actions_addopen(&actions, handle, "/dev/null", O_WRONLY, 0);
+            posix_spawn_file_actions_addopen(&actions, handle, file, O_WRONLY | O_CREAT | O_APPEND,
+                                             readableByAll);
     }
 
     void readReady(const std::string &program)
@@ -177,6 +183,7 @@
         }
     }
 
+    std::string m_file;
     pid_t m_id = 0;
     int m_status = 0;
     std::unique_ptr<FILE, CloseFile> m_output;
