No herd on the first target that is known again, nor on one that joins empty

Cause: targets whose registrations lapsed were fallen back on only where no other was left, however few the others were. One trusted target was enough to hide thirty-nine that had answered a moment ago. The same with a target that joins empty: it looks least loaded to every daemon, each of which is blind to what the others place.

Ruled out: the distribution; all daemons hear within milliseconds of what is back, which is what makes them act alike.

Change, two mechanisms that experiments can leave out: - lapsedAlike: while more targets of a domain have lapsed than are known, the lapsed ones that left no flow unanswered are chosen from like the others; once half are back, what is missing is likely gone and gets nothing; - boundedShare: the least loaded is chosen among eight drawn by chance, so that no target gets more than eight times its even share.

Tests, in virtual time: herd/*. Without the two mechanisms the first target to come back gets 240 of 240 flows where an even share is 6; now at most four times its share.

--- a/src/core/direct/direct_targets.cpp
+++ b/src/core/direct/direct_targets.cpp
@@ -195,14 +195,39 @@
     return (work + 1.0) / slots * slowness;
 }
 
-DirectTarget *DirectTargets::least(const std::vector<DirectTarget *> &among, TimePoint now,
+// A lapse says nothing against a target. With the first registration that is back, that target
+// would be the only one that is known: all daemons would send it all their new flows, far beyond
+// its room.
+std::vector<DirectTarget *> &DirectTargets::eligible(Candidates &candidates) const
+{
+    std::vector<DirectTarget *> &known = candidates.known;
+    if (has(Mechanism::LapsedAlike) && candidates.lapsed.size() > known.size())
+        known.insert(known.end(), candidates.lapsed.begin(), candidates.lapsed.end());
+    return known;
+}
+
+std::size_t DirectTargets::select(std::vector<DirectTarget *> &among, Random &random) const
+{
+    const std::size_t most = m_settings.mostShares;
+    if (among.size() <= most || !has(Mechanism::BoundedShare))
+        return among.size();
+    for (std::size_t index = 0; index < most; ++index) {
+        boost::random::uniform_int_distribution<std::size_t> draw{index, among.size() - 1};
+        std::swap(among[index], among[draw(random)]);
+    }
+    return most;
+}
+
+DirectTarget *DirectTargets::least(std::vector<DirectTarget *> &among, TimePoint now,
                                    Random &random) const
 {
     const double usual = usualAnswer(among);
     DirectTarget *best = nullptr;
     double bestCost = 0;
     std::uint32_t ties = 0;
-    for (DirectTarget *target : among) {
+    const std::size_t count = select(among, random);
+    for (std::size_t index = 0; index < count; ++index) {
+        DirectTarget *target = among[index];
         const double cost = this->cost(*target, usual, now);
         if (best && cost > bestCost)
             continue;
@@ -233,20 +258,24 @@
         DirectTarget &target = m_targets.at(id);
         if (id == except)
             continue;
+        Candidates &candidates
+            = target.local || !has(Mechanism::OwnDomainFirst) ? m_near : m_far;
         const TargetBelief belief = this->belief(target);
         if (takesFlows(target, now))
-            (target.local || !has(Mechanism::OwnDomainFirst) ? m_near : m_far).push_back(&target);
-        else if (belief == TargetBelief::Suspect || belief == TargetBelief::Lapsed)
+            candidates.known.push_back(&target);
+        else if (belief == TargetBelief::Lapsed && target.unanswered == 0)
+            candidates.lapsed.push_back(&target);
+        if (belief == TargetBelief::Suspect || belief == TargetBelief::Lapsed)
             m_last.push_back(&target);
     }
-    DirectTarget *near = least(m_near, now, random);
+    DirectTarget *near = least(eligible(m_near), now, random);
     const auto busy = [this](const DirectTarget &target) {
         const double slots = std::max<std::uint32_t>(target.entry.slots, 1);
         return target.load() / slots > m_settings.spillAbove;
     };
     DirectTarget *best = near;
     if (!near || busy(*near)) {
-        DirectTarget *far = least(m_far, now, random);
+        DirectTarget *far = least(eligible(m_far), now, random);
         if (far && (!near || far->load() < near->load()))
             best = far;
     }
--- a/src/core/direct/direct_targets.h
+++ b/src/core/direct/direct_targets.h
@@ -52,6 +52,9 @@
     /// Weight of an open flow beside a request in flight: a feed asks about once a second, and an
     /// answer takes some 25 to 60 ms.
     double openFlowWeight = 0.04;
+    /// A target gets at most so many times its even share of new flows, however little loaded it
+    /// looks: to all daemons alike an empty one, or the first that is known again, looks best.
+    std::size_t mostShares = 8;
     OverloadSettings overload{};
     Mechanisms mechanisms{}; ///< What an experiment leaves out.
 };
@@ -158,8 +161,26 @@
     [[nodiscard]] double cost(const DirectTarget &target, double usualMicros,
                               TimePoint now) const noexcept;
     [[nodiscard]] double usualAnswer(const std::vector<DirectTarget *> &among) const noexcept;
-    [[nodiscard]] DirectTarget *least(const std::vector<DirectTarget *> &among, TimePoint now,
+    /// \brief Targets of one failure domain, or of all others, that may get a new flow.
+    struct Candidates
+    {
+        std::vector<DirectTarget *> known;  ///< Registered, and not silent.
+        std::vector<DirectTarget *> lapsed; ///< Their registrations went with an outage.
+
+        void clear()
+        {
+            known.clear();
+            lapsed.clear();
+        }
+    };
+
+    /// \return Those among which to choose.
+    [[nodiscard]] std::vector<DirectTarget *> &eligible(Candidates &candidates) const;
+    [[nodiscard]] DirectTarget *least(std::vector<DirectTarget *> &among, TimePoint now,
                                       Random &random) const;
+    /// \brief Moves a chance selection to the front where more are there than one may be compared
+    /// with. \return Its size.
+    [[nodiscard]] std::size_t select(std::vector<DirectTarget *> &among, Random &random) const;
 
     std::string m_domain;
     DirectSettings m_settings;
@@ -167,8 +188,8 @@
     std::map<std::string, TimePoint> m_evacuated; ///< Failure domains.
     std::unordered_map<TargetId, DirectTarget> m_targets;
     std::unordered_map<ServiceId, std::vector<TargetId>> m_services;
-    std::vector<DirectTarget *> m_near; ///< Kept between calls to save allocations.
-    std::vector<DirectTarget *> m_far;
+    Candidates m_near; ///< Kept between calls to save allocations.
+    Candidates m_far;
     std::vector<DirectTarget *> m_last;
 };
 
--- a/src/core/direct/mechanisms.h
+++ b/src/core/direct/mechanisms.h
@@ -17,6 +17,8 @@
     OpenFlowWeight, ///< Flows that are open count as load, also while they ask for nothing.
     Suspicion,      ///< Targets that leave several flows without a sign get no new ones.
     Lapses,         ///< Registrations that went with an outage of the store may come back.
+    LapsedAlike,    ///< While most have lapsed, these get new flows like the others.
+    BoundedShare,   ///< A target gets at most a multiple of its even share of new flows.
     MovedOpenings,  ///< A first segment that comes again may go to another target.
     WaitForView,    ///< Segments that come before the directory wait for it.
     HoldRequests,   ///< Requests on open flows wait here while their target is saturated.
@@ -27,9 +29,10 @@
 
 /// Names of Mechanism, for settings and the log.
 inline constexpr std::array<std::string_view, static_cast<std::size_t>(Mechanism::Count)>
-    MechanismNames{"ownDomainFirst", "slowness",    "slownessFades", "openFlowWeight",
-                   "suspicion",      "lapses",      "movedOpenings", "waitForView",
-                   "holdRequests",   "newestFirst", "priorities"};
+    MechanismNames{"ownDomainFirst", "slowness",     "slownessFades", "openFlowWeight",
+                   "suspicion",      "lapses",       "lapsedAlike",   "boundedShare",
+                   "movedOpenings",  "waitForView",  "holdRequests",  "newestFirst",
+                   "priorities"};
 
 /// \return The mechanism of that name, or nothing.
 [[nodiscard]] constexpr std::optional<Mechanism> mechanismNamed(std::string_view name) noexcept
--- /dev/null
+++ b/tests/direct/herd_test.cpp
@@ -0,0 +1,103 @@
+#include "support/direct_fleet.h"
+
+#include <criterion/criterion.h>
+
+#include <map>
+#include <memory>
+
+using namespace baobabtrail;
+using namespace baobabtrail::test;
+
+namespace {
+
+constexpr std::uint64_t Targets = 40;
+constexpr std::size_t Daemons = 30;
+
+/// \brief The daemons of a failure domain with its targets, each blind to the others' flows.
+struct Daemons30
+{
+    explicit Daemons30(const DirectSettings &settings = {})
+    {
+        for (std::size_t index = 0; index < Daemons; ++index) {
+            daemons.push_back(std::make_unique<DirectFleet>(settings, index + 1));
+            for (std::uint64_t id = 1; id <= Targets; ++id)
+                daemons.back()->add(id);
+        }
+    }
+
+    /// \brief Each daemon opens so many flows, which are accepted. \return Flows by target.
+    std::map<std::uint64_t, std::size_t> open(std::uint16_t flows)
+    {
+        std::map<std::uint64_t, std::size_t> placed;
+        for (std::uint16_t flow = 0; flow < flows; ++flow) {
+            for (const auto &daemon : daemons)
+                ++placed[daemon->establish(m_nextCaller).target.value()];
+            ++m_nextCaller;
+        }
+        return placed;
+    }
+
+    std::vector<std::unique_ptr<DirectFleet>> daemons;
+
+private:
+    std::uint16_t m_nextCaller = 0;
+};
+
+[[nodiscard]] std::size_t most(const std::map<std::uint64_t, std::size_t> &placed)
+{
+    std::size_t most = 0;
+    for (const auto &[target, flows] : placed)
+        most = std::max(most, flows);
+    return most;
+}
+
+} // namespace
+
+// Guards against all daemons that send every new flow to the one target whose registration is back
+// first after an outage of the store.
+Test(herd, theFirstToComeBackAfterALapseGetsItsShare)
+{
+    Daemons30 fleet;
+    (void)fleet.open(20);
+    for (const auto &daemon : fleet.daemons) {
+        for (std::uint64_t id = 1; id <= Targets; ++id)
+            daemon->router().removeTarget(TargetId{id}, true, daemon->now);
+        daemon->add(1);
+    }
+    constexpr std::uint16_t flows = 8;
+    const std::size_t share = flows * Daemons / Targets;
+    const auto placed = fleet.open(flows);
+    cr_assert_leq(most(placed), 4 * share, "%zu where an even share is %zu", most(placed), share);
+}
+
+// Guards against lapsed targets that go on to get flows once most registrations are back: those
+// that are missing then are likely gone.
+Test(herd, lapsedTargetsGetNothingOnceMostAreBack)
+{
+    Daemons30 fleet;
+    (void)fleet.open(5);
+    for (const auto &daemon : fleet.daemons) {
+        for (std::uint64_t id = 1; id <= Targets; ++id)
+            daemon->router().removeTarget(TargetId{id}, true, daemon->now);
+        for (std::uint64_t id = 1; id <= Targets / 2; ++id)
+            daemon->add(id);
+    }
+    for (const auto &[target, flows] : fleet.open(5))
+        cr_assert_leq(target, Targets / 2);
+}
+
+// Guards against all daemons that fill up an empty target at once, as it looks least loaded to
+// each: in a release, a scale-out, and as a failure domain comes back.
+Test(herd, aTargetThatJoinsEmptyGetsABoundedShare)
+{
+    Daemons30 fleet;
+    (void)fleet.open(100);
+    constexpr std::uint64_t joins = Targets + 1;
+    for (const auto &daemon : fleet.daemons)
+        daemon->add(joins);
+    constexpr std::uint16_t flows = 5;
+    const std::size_t share = flows * Daemons / joins;
+    auto placed = fleet.open(flows);
+    const std::size_t bound = (DirectSettings{}.mostShares + 2) * share;
+    cr_assert_leq(placed[joins], bound, "%zu where an even share is %zu", placed[joins], share);
+}
