Try a silent target by a connection, and end the flows of one that is dark

Cause: one daemon of thirty-three sees 0.4 flows a second to each of forty targets. Two unanswered flows for a suspicion take it seconds, and each suspect asks for a new flow every two seconds to find out whether it is back: with forty of them that is more than all its flows.

Ways weighed: - evidence shared within the domain: daemons there don't know each other, and what travels with questions along the tree is up to 1.5 s late; - today's way, two unanswered flows; - taken: the first flow that is left without a sign has the target tried by a TCP connection, closed at once (it takes no slot). Refused, or unanswered for 250 ms, it gets no new flows; probes alone find out every 2 s whether it is back, no caller. Two silent targets of a domain within a second have all of it tried that were not heard for 500 ms. Sixteen connections at once.

Open flows of a target end, so that their callers ask again, on two grounds together: the caller repeats itself, and two probes in a row have failed since the last sign of life. A probe whose timer was late by 50 ms says nothing: this process stood still. A copy of an opening that waited here together with the first one no longer counts against its target.

Tests: probes/*; a flow of a living target is never ended: slow, one packet of the probe lost, a daemon that was late. Mechanism "probes" for experiments, counter baobabtrail_probes_total, field probes_failed in the log.

--- a/src/core/direct/direct_node.cpp
+++ b/src/core/direct/direct_node.cpp
@@ -74,6 +74,7 @@
     , m_peers(m_settings.peers, m_identity, peerPorts(), m_random,
               {shared(m_routes), shared(m_targets), shared(m_evacuations)}, peerHandlers())
 {
+    m_router.setProbing(static_cast<bool>(m_ports.probe));
 }
 
 DirectNode::~DirectNode() = default;
@@ -116,6 +117,7 @@
         if (alive.expired())
             return;
         m_router.expire(m_ports.feed.now());
+        startProbes();
         m_relay.expire();
         endHeld();
         expirePeriodically();
@@ -145,6 +147,7 @@
         endHeld();
         verdict = m_router.route(segment, now);
     }
+    startProbes();
     endHeld();
     if (!std::holds_alternative<HoldSegment>(verdict))
         return verdict;
@@ -152,6 +155,19 @@
     return std::nullopt;
 }
 
+void DirectNode::startProbes()
+{
+    for (const ProbeRequest &probe : m_router.takeProbes()) {
+        m_ports.probe(probe.address,
+                      [this, probe, alive = std::weak_ptr{m_alive}](ProbeOutcome outcome) {
+                          if (alive.expired())
+                              return;
+                          m_router.probed(probe, outcome, m_ports.feed.now());
+                          startProbes();
+                      });
+    }
+}
+
 void DirectNode::endHeld()
 {
     // What goes on may make room for more.
--- a/src/core/direct/direct_node.h
+++ b/src/core/direct/direct_node.h
@@ -104,6 +104,9 @@
     DirectoryReader reader;
     DirectObserver observer;
     std::function<void(const NodeNotice &)> noticed; ///< May be empty.
+    /// Tries a connection to a target and tells the outcome once, later; empty where that can't be
+    /// done.
+    std::function<void(const Endpoint &target, std::function<void(ProbeOutcome)>)> probe;
     /// Carries out the verdict on a segment that had to wait.
     std::function<void(const Segment &, const std::string &payload, const SegmentVerdict &)> carry;
     std::function<void()> ready; ///< Called once, when the directory is complete; may be empty.
@@ -202,6 +205,7 @@
                                                       std::string_view payload);
     void endHeld();
     void endHeld(const HeldEnd &end);
+    void startProbes();
     void serveHeldLater();
     /// \brief Begins anew with the store, where this daemon is a root, and with its peers.
     void startFeeds();
--- a/src/core/direct/direct_router.cpp
+++ b/src/core/direct/direct_router.cpp
@@ -150,7 +150,8 @@
         flow.seenAt = now;
         DirectTarget *before = targetOf(flow);
         if (before) {
-            if (flow.state == FlowState::Opening)
+            // A copy that waited here with the first one says nothing: its target had no time.
+            if (flow.state == FlowState::Opening && now - flow.openedAt >= ResentAfter)
                 unanswered(flow, *before, now);
             // A second target that answers too would confuse the caller. Only one that is known to
             // be silent or leaving is given up.
@@ -233,9 +234,9 @@
             if (holds(flow, *target, segment, now))
                 return hold(flow, *target, segment);
             sent(flow, *target, segment, now);
-            if (target->goneAt && flow.repeats > 0) {
-                // The target has left and acknowledges nothing: the caller would wait until its
-                // time is up. The end of the flow lets it ask again at once.
+            if ((target->goneAt || m_targets.isSilent(*target)) && flow.repeats > 0) {
+                // The target has left, or is dark, and acknowledges nothing: the caller would wait
+                // until its time is up. The end of the flow lets it ask again at once.
                 decided(SegmentCause::TargetGone, segment, target, flow.service);
                 release(known->first, flow);
                 m_flows.erase(known);
@@ -367,6 +368,7 @@
         return;
     if (m_targets.unanswered(target, now) && m_observer.believed)
         m_observer.believed({target, m_targets.belief(target)});
+    doubt(target);
 }
 
 void DirectRouter::endRequest(Flow &flow, DirectTarget &target)
@@ -410,6 +412,7 @@
         release(it->first, flow);
         m_flows.erase(it++);
     }
+    probeSilent(now);
     m_targets.expire(now, [this](const DirectTarget &target) {
         if (m_observer.believed)
             m_observer.believed({target, TargetBelief::Gone});
--- a/src/core/direct/direct_router.h
+++ b/src/core/direct/direct_router.h
@@ -2,6 +2,7 @@
 
 #include "core/direct/direct_targets.h"
 #include "core/direct/segment.h"
+#include "core/direct/target_probes.h"
 #include "core/directory/directory.h"
 #include "core/overload/request_gate.h"
 #include "core/random.h"
@@ -45,6 +46,14 @@
     bool goesOn = false; ///< Its segments are to be routed now; else they are to be dropped.
 };
 
+/// \brief A target to which a connection is to be tried.
+struct ProbeRequest
+{
+    TargetId target;
+    std::uint32_t incarnation = 0;
+    Endpoint address;
+};
+
 /// \brief What was decided about a segment, by cause.
 enum class SegmentCause {
     Forwarded,    ///< To the target that holds the flow.
@@ -155,6 +164,13 @@
     /// \brief There is no space to hold a flow's request; it goes on.
     void dontHold(const FlowKey &flow, TimePoint now);
 
+    /// \brief Whether connections to targets can be tried. \see takeProbes
+    void setProbing(bool probing) noexcept { m_probing = probing; }
+    /// \return Targets that are to be tried now; to be asked after each call that may want one.
+    [[nodiscard]] std::vector<ProbeRequest> takeProbes();
+    /// \brief The outcome of a probe; to be told once for each.
+    void probed(const ProbeRequest &probe, ProbeOutcome outcome, TimePoint now);
+
     /// \brief Forgets idle flows and departed targets; to be called about once a second.
     void expire(TimePoint now);
 
@@ -219,6 +235,11 @@
                   const Flow &flow, const DirectTarget &target) const;
     void heard(Flow &flow, DirectTarget &target, TimePoint now);
     void unanswered(Flow &flow, DirectTarget &target, TimePoint now);
+    /// \brief A target has left a flow without a sign.
+    void doubt(DirectTarget &target);
+    /// \brief Tries all of a failure domain that were not heard lately.
+    void sweep(const std::string &domain, TimePoint now);
+    void probeSilent(TimePoint now);
     void release(const FlowKey &key, Flow &flow);
     [[nodiscard]] DirectTarget *targetOf(const Flow &flow);
     void endRequest(Flow &flow, DirectTarget &target);
@@ -230,6 +251,8 @@
     DirectObserver m_observer;
     DirectTargets m_targets;
     RequestGate m_gate;
+    TargetProbes m_probes;
+    bool m_probing = false;
     std::vector<HeldEnd> m_heldEnds;
     RouteTablePtr m_routes = std::make_shared<const RouteTable>();
     std::map<Endpoint, ServiceId> m_removedRoutes; ///< Were served once, in this process' life.
--- a/src/core/direct/direct_targets.cpp
+++ b/src/core/direct/direct_targets.cpp
@@ -18,6 +18,8 @@
 /// Bounds of how much slower or faster than usual a target may count.
 constexpr double MostSlowness = 8.0;
 constexpr double LeastSlowness = 0.8;
+/// Probes that must fail in a row before open flows are ended: a single one may be a lost packet.
+constexpr std::uint32_t SilentAfterProbes = 2;
 
 [[nodiscard]] double secondsOf(Duration duration) noexcept
 {
@@ -145,7 +147,14 @@
 
 bool DirectTargets::isSuspect(const DirectTarget &target) const noexcept
 {
-    return target.unanswered >= m_settings.suspectAfter && has(Mechanism::Suspicion);
+    if (!has(Mechanism::Suspicion))
+        return false;
+    return target.unanswered >= m_settings.suspectAfter || target.probesFailed > 0;
+}
+
+bool DirectTargets::isSilent(const DirectTarget &target) const noexcept
+{
+    return target.probesFailed >= SilentAfterProbes;
 }
 
 bool DirectTargets::takesFlows(const DirectTarget &target, TimePoint now) const noexcept
@@ -156,7 +165,10 @@
     if (!m_labels.labelOf(target.entry.id))
         return false;
     if (belief == TargetBelief::Trusted)
-        return true;
+        return !target.doubted;
+    // Probes find out whether it is back; no caller has to.
+    if (target.probesFailed > 0)
+        return false;
     const TimePoint tried = target.triedAt.value_or(target.unansweredSince);
     return now - tried >= m_settings.trialEvery;
 }
@@ -265,7 +277,9 @@
             candidates.known.push_back(&target);
         else if (belief == TargetBelief::Lapsed && target.unanswered == 0)
             candidates.lapsed.push_back(&target);
-        if (belief == TargetBelief::Suspect || belief == TargetBelief::Lapsed)
+        const bool last = belief == TargetBelief::Suspect || belief == TargetBelief::Lapsed
+                          || (belief == TargetBelief::Trusted && target.doubted);
+        if (last)
             m_last.push_back(&target);
     }
     DirectTarget *near = least(eligible(m_near), now, random);
@@ -289,13 +303,29 @@
 
 bool DirectTargets::heard(DirectTarget &target, TimePoint now) noexcept
 {
-    const bool suspect = target.unanswered >= m_settings.suspectAfter;
+    const bool suspect = isSuspect(target);
     target.heardAt = now;
     target.unanswered = 0;
     target.triedAt.reset();
+    target.doubted = false;
+    target.probesFailed = 0;
     return suspect;
 }
 
+bool DirectTargets::probed(DirectTarget &target, bool alive, TimePoint now) noexcept
+{
+    const bool suspect = isSuspect(target);
+    target.doubted = false;
+    target.probedAt = now;
+    if (!alive) {
+        ++target.probesFailed;
+    } else if (target.probesFailed > 0) {
+        target.probesFailed = 0;
+        target.unanswered = 0; // Of the time in which it was away.
+    }
+    return suspect != isSuspect(target);
+}
+
 void DirectTargets::answered(DirectTarget &target, Duration took, TimePoint now) noexcept
 {
     const auto micros = static_cast<double>(took.count());
--- a/src/core/direct/direct_targets.h
+++ b/src/core/direct/direct_targets.h
@@ -85,6 +85,9 @@
     std::uint32_t unanswered = 0;     ///< Flows that wait in vain since that sign.
     TimePoint unansweredSince{};
     std::optional<TimePoint> triedAt; ///< Last flow that was offered while it was suspect.
+    bool doubted = false;             ///< Left a flow without a sign, and is being tried.
+    std::uint32_t probesFailed = 0;   ///< In a row, since the last sign that it lives.
+    TimePoint probedAt{};             ///< End of the last probe.
     double answerMicros = 0;          ///< Moving mean of the time to the answer; 0 for none yet.
     TimePoint answeredAt{};
 };
@@ -145,6 +148,12 @@
 
     // Evidence, from segments that pass.
 
+    /// \brief A connection to the target was tried.
+    /// \return Whether that changed what is believed of it.
+    bool probed(DirectTarget &target, bool alive, TimePoint now) noexcept;
+    /// \return Whether it is known to be gone for now, so that its open flows may be ended: a
+    /// caller that repeats itself is one ground, and probes that failed are the other.
+    [[nodiscard]] bool isSilent(const DirectTarget &target) const noexcept;
     /// \return Whether this ended a suspicion.
     bool heard(DirectTarget &target, TimePoint now) noexcept;
     /// \brief The target answered a request. \param took From the last byte of the request.
--- a/src/core/direct/mechanisms.h
+++ b/src/core/direct/mechanisms.h
@@ -16,6 +16,7 @@
     SlownessFades,  ///< What was learnt of a target's speed is forgotten within seconds.
     OpenFlowWeight, ///< Flows that are open count as load, also while they ask for nothing.
     Suspicion,      ///< Targets that leave several flows without a sign get no new ones.
+    Probes,         ///< Targets that leave a flow without a sign are tried by a connection.
     Lapses,         ///< Registrations that went with an outage of the store may come back.
     LapsedAlike,    ///< While most have lapsed, these get new flows like the others.
     BoundedShare,   ///< A target gets at most a multiple of its even share of new flows.
@@ -30,7 +31,8 @@
 /// Names of Mechanism, for settings and the log.
 inline constexpr std::array<std::string_view, static_cast<std::size_t>(Mechanism::Count)>
     MechanismNames{"ownDomainFirst", "slowness",     "slownessFades", "openFlowWeight",
-                   "suspicion",      "lapses",       "lapsedAlike",   "boundedShare",
+                   "suspicion",      "probes",       "lapses",        "lapsedAlike",
+                   "boundedShare",
                    "movedOpenings",  "waitForView",  "holdRequests",  "newestFirst",
                    "priorities"};
 
--- a/src/core/directory/directory.h
+++ b/src/core/directory/directory.h
@@ -86,7 +86,9 @@
     std::string name;
     ServiceId service;
     std::string domain;
-    Endpoint address; ///< UDP; may have belonged to a target of another service before.
+    /// UDP; may have belonged to a target of another service before. It takes TCP connections there
+    /// too.
+    Endpoint address;
     std::uint32_t slots = 1;
     bool draining = false;
     Duration warmUpLeft{0}; ///< How much longer the target says that it is slow after its start.
--- a/src/daemon/direct/direct_daemon.cpp
+++ b/src/daemon/direct/direct_daemon.cpp
@@ -5,6 +5,7 @@
 #include "daemon/direct/direct_tables.h"
 #include "daemon/direct/peer_http.h"
 #include "daemon/settings/settings_reader.h"
+#include "net/try_connection.h"
 #include "platform/packet_form.h"
 #include "platform/registry_form.h"
 
@@ -24,6 +25,8 @@
 /// Until a call is tried again that found its client being restarted.
 constexpr Duration ClientRestart = 100ms;
 constexpr Duration ClockPeriod = 500ms;
+/// A machine that lives takes a connection within milliseconds, however busy its programs are.
+constexpr Duration ProbeTimeout = 250ms;
 /// Between two looks at the settings file: three system calls each, and soon enough for a store
 /// that has moved, since a view serves on for longer.
 constexpr Duration SettingsPeriod = 2s;
@@ -172,6 +175,9 @@
             m_metrics.asked(*asked);
         m_log.write(notice, monotonicNow());
     };
+    ports.probe = [this](const Endpoint &target, std::function<void(ProbeOutcome)> done) {
+        probeTarget(target, std::move(done));
+    };
     ports.ready = [this] { m_log.ready(*m_node); };
     ports.carry = [this](const Segment &segment, const std::string &payload,
                          const SegmentVerdict &verdict) { carry(segment, payload, verdict); };
@@ -212,6 +218,21 @@
     });
 }
 
+void DirectDaemon::probeTarget(const Endpoint &target, std::function<void(ProbeOutcome)> done)
+{
+    tryConnection(m_context, target, ProbeTimeout, [this, done = std::move(done)](Connected end) {
+        ++m_metrics.probes[static_cast<std::size_t>(end)];
+        switch (end) {
+        case Connected::Yes:
+            return done(ProbeOutcome::Alive);
+        case Connected::No:
+            return done(ProbeOutcome::Silent);
+        case Connected::Unsure:
+            return done(ProbeOutcome::Unsure);
+        }
+    });
+}
+
 void DirectDaemon::answerPeer(const HttpRequest &request, const HttpServer::Respond &respond)
 {
     const auto question = peerQuestion(request);
--- a/src/daemon/direct/direct_daemon.h
+++ b/src/daemon/direct/direct_daemon.h
@@ -59,6 +59,7 @@
     void callStore(const PlatformRequest &request, std::function<void(PlatformResult)> done);
     void askPeer(const Endpoint &peer, const PeerQuestion &question, const AskLimits &limits,
                  std::function<void(PeerResult)> done);
+    void probeTarget(const Endpoint &target, std::function<void(ProbeOutcome)> done);
     void answerPeer(const HttpRequest &request, const HttpServer::Respond &respond);
     [[nodiscard]] HttpReply readiness(const HttpRequest &request) const;
     [[nodiscard]] HttpReply administration(const HttpRequest &request) const;
--- a/src/daemon/direct/direct_log.cpp
+++ b/src/daemon/direct/direct_log.cpp
@@ -41,6 +41,7 @@
         .field("opening", target.opening)
         .field("open_flows", target.openFlows)
         .field("unanswered", target.unanswered)
+        .field("probes_failed", target.probesFailed)
         .field("answer_ms", target.answerMicros / 1000.0);
     if (target.heardAt)
         event.field("heard_ms_ago", now - *target.heardAt);
--- a/src/daemon/direct/direct_metrics.cpp
+++ b/src/daemon/direct/direct_metrics.cpp
@@ -164,6 +164,10 @@
     event("peer_answered", peersAnswered);
     event("peer_failed", peersFailed);
     event("peer_served", peersServed);
+    page.family("baobabtrail_probes_total", "counter",
+                "Connections that were tried to targets that left a flow without a sign.");
+    for (std::size_t index = 0; index < ProbeOutcomeNames.size(); ++index)
+        page.sample({{"outcome", ProbeOutcomeNames[index]}}, static_cast<double>(probes[index]));
 }
 
 void DirectMetrics::writeServices(Exposition &page) const
--- a/src/daemon/direct/direct_metrics.h
+++ b/src/daemon/direct/direct_metrics.h
@@ -23,6 +23,9 @@
 /// Names of FlowTime.
 inline constexpr std::array<std::string_view, 3> FlowTimeNames{"open", "answer", "held"};
 
+/// Names of ProbeOutcome.
+inline constexpr std::array<std::string_view, 3> ProbeOutcomeNames{"alive", "silent", "unsure"};
+
 /// Names of QuestionOutcome.
 inline constexpr std::array<std::string_view, 7> QuestionOutcomeNames{
     "taken", "stale", "blank", "redirected", "refused", "misfit", "unanswered"};
@@ -64,6 +67,7 @@
     std::uint64_t peersFailed = 0;
     std::uint64_t peersServed = 0;     ///< Questions of others.
     std::uint64_t peerBytesServed = 0; ///< Bodies of the answers.
+    CounterArray<ProbeOutcomeNames.size()> probes{};
     std::array<CounterArray<PlatformResultNames.size()>, PlatformCallNames.size()> storeCalls{};
 
 private:
--- /dev/null
+++ b/src/net/try_connection.cpp
@@ -0,0 +1,70 @@
+#include "net/try_connection.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <utility>
+
+namespace baobabtrail {
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+/// A timer that is later than this says that the process stood still, and that an answer may have
+/// come that nobody has looked at.
+constexpr Duration LatestTimer = 50ms;
+
+/// \brief One try; lives until both its timer and its connect have ended.
+struct Try : std::enable_shared_from_this<Try>
+{
+    Try(boost::asio::io_context &context, std::function<void(Connected)> whenDone)
+        : socket(context)
+        , timer(context)
+        , done(std::move(whenDone))
+    {
+    }
+
+    void start(const Endpoint &server, Duration timeout)
+    {
+        timer.expires_after(timeout);
+        timer.async_wait([self = shared_from_this()](boost::system::error_code error) {
+            if (error)
+                return;
+            const Duration late = std::chrono::duration_cast<Duration>(
+                std::chrono::steady_clock::now() - self->timer.expiry());
+            self->end(late > LatestTimer ? Connected::Unsure : Connected::No);
+        });
+        const tcp::endpoint endpoint{boost::asio::ip::address_v4{server.address}, server.port};
+        socket.async_connect(endpoint,
+                             [self = shared_from_this()](boost::system::error_code error) {
+                                 self->end(error ? Connected::No : Connected::Yes);
+                             });
+    }
+
+    void end(Connected end)
+    {
+        const auto told = std::exchange(done, nullptr);
+        if (!told)
+            return;
+        timer.cancel();
+        boost::system::error_code ignored; // Nothing was sent; there is nothing to lose.
+        socket.close(ignored);
+        told(end);
+    }
+
+    tcp::socket socket;
+    boost::asio::steady_timer timer;
+    std::function<void(Connected)> done;
+};
+
+} // namespace
+
+void tryConnection(boost::asio::io_context &context, const Endpoint &server, Duration timeout,
+                   std::function<void(Connected)> done)
+{
+    std::make_shared<Try>(context, std::move(done))->start(server, timeout);
+}
+
+} // namespace baobabtrail
--- /dev/null
+++ b/tests/direct/probe_test.cpp
@@ -0,0 +1,173 @@
+#include "support/direct_fleet.h"
+#include "support/verdicts.h"
+
+#include <criterion/criterion.h>
+
+using namespace baobabtrail;
+using namespace baobabtrail::test;
+
+namespace {
+
+/// \brief Targets whose machines answer connections, unless they are dark.
+struct ProbedFleet : DirectFleet
+{
+    explicit ProbedFleet(std::uint64_t count)
+    {
+        router().setProbing(true);
+        for (std::uint64_t id = 1; id <= count; ++id)
+            add(id);
+    }
+
+    /// \return Probes that were made, each with the outcome \a outcomeOf gives for its target.
+    std::size_t probe(const std::function<ProbeOutcome(TargetId)> &outcomeOf)
+    {
+        std::size_t count = 0;
+        for (auto wanted = router().takeProbes(); !wanted.empty(); wanted = router().takeProbes()) {
+            for (const ProbeRequest &each : wanted)
+                router().probed(each, outcomeOf(each.target), now);
+            count += wanted.size();
+        }
+        return count;
+    }
+    std::size_t probe(ProbeOutcome outcome)
+    {
+        return probe([outcome](TargetId) { return outcome; });
+    }
+
+    [[nodiscard]] TargetBelief belief(TargetId id)
+    {
+        return router().targets().belief(*router().targets().find(id));
+    }
+
+    /// \brief Opens a flow whose target says nothing, and sends the first segment again.
+    TargetId openInVain(std::uint16_t caller)
+    {
+        const TargetId target = open(caller).target;
+        now += 200ms;
+        (void)open(caller, 1);
+        return target;
+    }
+};
+
+} // namespace
+
+// Guards against seconds in which callers find out one by one that a target is dark.
+Test(probes, oneOpeningInVainIsEnoughForADarkTarget)
+{
+    ProbedFleet fleet{2};
+    const TargetId dark = fleet.openInVain(1);
+    cr_assert_eq(fleet.probe(ProbeOutcome::Silent), 2U);
+    cr_assert(fleet.belief(dark) == TargetBelief::Suspect);
+    fleet.now += 400ms;
+    cr_assert(fleet.open(1, 2).target != dark);
+    for (std::uint16_t caller = 10; caller < 40; ++caller)
+        cr_assert(fleet.open(caller).target != dark);
+}
+
+// Guards against callers that are spent on finding out whether a dark target is back.
+Test(probes, onlyAProbeBringsADarkTargetBack)
+{
+    ProbedFleet fleet{2};
+    const TargetId dark = fleet.openInVain(1);
+    (void)fleet.probe(ProbeOutcome::Silent);
+    for (std::uint16_t second = 0; second < 10; ++second) {
+        fleet.now += 1s;
+        fleet.router().expire(fleet.now);
+        cr_assert_leq(fleet.probe(ProbeOutcome::Silent), 1U);
+        cr_assert(fleet.open(10 + second).target != dark);
+    }
+    fleet.now += 2s;
+    fleet.router().expire(fleet.now);
+    cr_assert_eq(fleet.probe(ProbeOutcome::Alive), 1U);
+    cr_assert(fleet.belief(dark) == TargetBelief::Trusted);
+}
+
+// Guards against a failure domain that goes dark, and whose targets are found out one by one.
+Test(probes, severalSilentTargetsHaveTheirWholeDomainTried)
+{
+    constexpr std::uint64_t count = 20;
+    ProbedFleet fleet{count};
+    fleet.add(count + 1, "alx-agami");
+    const auto dark = [](TargetId id) {
+        return id.value() <= count / 2 ? ProbeOutcome::Silent : ProbeOutcome::Alive;
+    };
+    for (std::uint16_t caller = 0; caller < 12; ++caller)
+        (void)fleet.open(caller);
+    fleet.now += 200ms;
+    for (std::uint16_t caller = 0; caller < 12; ++caller)
+        (void)fleet.open(caller, 1);
+    (void)fleet.probe(dark);
+    for (std::uint64_t id = 1; id <= count; ++id) {
+        const bool suspect = fleet.belief(TargetId{id}) == TargetBelief::Suspect;
+        cr_assert_eq(suspect, id <= count / 2, "target %lu", id);
+    }
+    cr_assert(fleet.belief(TargetId{count + 1}) == TargetBelief::Trusted);
+}
+
+// Guards against callers on open flows of a dark target that wait until their time is up.
+Test(probes, aFlowOfADarkTargetEndsOnceItsCallerRepeats)
+{
+    ProbedFleet fleet{1};
+    const DeliverSegment placed = fleet.establish(1);
+    (void)fleet.route(DirectFleet::data(1, placed.label, 0, 100, 1));
+    fleet.now += 200ms;
+    const Segment again = DirectFleet::data(1, placed.label, 0, 100, 1);
+    cr_assert(std::holds_alternative<DeliverSegment>(fleet.route(again)));
+    (void)fleet.probe(ProbeOutcome::Silent);
+    fleet.now += 400ms;
+    cr_assert(std::holds_alternative<AbortFlow>(fleet.route(again)));
+    cr_assert(fleet.causes.back() == SegmentCause::TargetGone);
+}
+
+// Guards against an open flow that is ended though its target lives: it is slow or overloaded, a
+// packet of the probe was lost, or this daemon itself stood still.
+Test(probes, aFlowOfALivingTargetIsNeverEnded)
+{
+    for (const ProbeOutcome outcome : {ProbeOutcome::Alive, ProbeOutcome::Unsure}) {
+        ProbedFleet fleet{1};
+        const DeliverSegment placed = fleet.establish(1);
+        (void)fleet.route(DirectFleet::data(1, placed.label, 0, 100, 1));
+        const Segment again = DirectFleet::data(1, placed.label, 0, 100, 1);
+        for (int repeat = 0; repeat < 6; ++repeat) {
+            fleet.now += 400ms;
+            cr_assert(std::holds_alternative<DeliverSegment>(fleet.route(again)));
+            for (const ProbeRequest &probe : fleet.router().takeProbes())
+                fleet.router().probed(probe, outcome, fleet.now);
+        }
+    }
+    ProbedFleet fleet{1};
+    const DeliverSegment placed = fleet.establish(1);
+    (void)fleet.route(DirectFleet::data(1, placed.label, 0, 100, 1));
+    const Segment again = DirectFleet::data(1, placed.label, 0, 100, 1);
+    fleet.now += 200ms;
+    (void)fleet.route(again);
+    int probes = 0; // The first fails by chance, the second finds the target.
+    (void)fleet.probe([&probes](TargetId) {
+        return probes++ == 0 ? ProbeOutcome::Silent : ProbeOutcome::Alive;
+    });
+    fleet.now += 400ms;
+    cr_assert(std::holds_alternative<DeliverSegment>(fleet.route(again)));
+    cr_assert(fleet.belief(placed.target) == TargetBelief::Trusted);
+}
+
+// Guards against a target that is doubted since this daemon was late itself: both copies of an
+// opening waited here, and went on together.
+Test(probes, copiesThatCameTogetherSayNothing)
+{
+    ProbedFleet fleet{1};
+    (void)fleet.open(1);
+    (void)fleet.open(1, 1);
+    cr_assert_eq(fleet.probe(ProbeOutcome::Silent), 0U);
+}
+
+// Guards against a sign of life that does not end what probes said.
+Test(probes, aSignOfLifeEndsTheSuspicion)
+{
+    ProbedFleet fleet{1};
+    const DeliverSegment kept = fleet.establish(1);
+    (void)fleet.openInVain(2);
+    (void)fleet.probe(ProbeOutcome::Silent);
+    cr_assert(fleet.belief(kept.target) == TargetBelief::Suspect);
+    (void)fleet.route(DirectFleet::data(1, kept.label, 0, 0, 50));
+    cr_assert(fleet.belief(kept.target) == TargetBelief::Trusted);
+}
