Keep to what a cold target bears, over all daemons together

Ways weighed, where a bound is stated: - shares of the rate by the daemons known to be alive: with 630 of them and 20 flows a second, one flow each in the same second is thirty times the bound (worked out), and nobody knows the number for sure; - none to a cold target at all: keeps the bound, but a domain that comes back cold gets nothing for its whole warm-up; - taken: few owners. Only the roots, which every daemon knows from its settings, open flows at cold targets, each a fixed part of the rate in any span of a second, whoever else lives. Half of the rate in all, since owners of before and after a change of settings may act at the same time. A process that has just started opens none for a second: it has forgotten what it opened. Where no warm target is left, what the bound does not allow is refused at once.

A target that was silent, and all of a domain whose evacuation ends, count as cold for the warm-up time: their own word may be a second behind.

Result: no more than the bound in any second over 8, 90 and 630 daemons, with restarts and with two sets of owners (cold/*, counted over all daemons). Without a stated bound nothing changes (cold/withoutAStatedBoundNothingIsBounded).

--- a/src/core/direct/direct_node.cpp
+++ b/src/core/direct/direct_node.cpp
@@ -90,6 +90,7 @@
     m_roots = roots;
     const bool named = std::find(roots.begin(), roots.end(), m_identity.address) != roots.end();
     m_isRoot = roots.empty() || named;
+    m_router.setColdOwners(roots.size(), named, m_ports.feed.now());
     startFeeds();
 }
 
@@ -312,7 +313,7 @@
             continue;
         }
         m_refused.erase(object.key);
-        m_router.putTarget(std::get<RegisteredTarget>(read));
+        m_router.putTarget(std::get<RegisteredTarget>(read), now);
     }
     for (const std::string &key : change.removed) {
         m_refused.erase(key);
--- a/src/core/direct/direct_router.cpp
+++ b/src/core/direct/direct_router.cpp
@@ -50,13 +50,14 @@
     }
     std::erase_if(m_removedRoutes, [&](const auto &item) { return routes->find(item.first); });
     m_routes = std::move(routes);
+    m_targets.setColdLimits(m_routes->coldLimits);
 }
 
-void DirectRouter::putTarget(const RegisteredTarget &target)
+void DirectRouter::putTarget(const RegisteredTarget &target, TimePoint now)
 {
     const DirectTarget *known = m_targets.find(target.id);
     const auto before = known ? std::optional{m_targets.belief(*known)} : std::nullopt;
-    const bool startedAgain = m_targets.put(target);
+    const bool startedAgain = m_targets.put(target, now);
     if (startedAgain)
         m_gate.forget(target.id);
     const DirectTarget &current = *m_targets.find(target.id);
--- a/src/core/direct/direct_router.h
+++ b/src/core/direct/direct_router.h
@@ -142,7 +142,12 @@
     /// \brief Whether the directory was confirmed lately; only then is a caller told that its
     /// address is not served. \see AbortFlow
     void setFresh(bool fresh) noexcept { m_fresh = fresh; }
-    void putTarget(const RegisteredTarget &target);
+    void putTarget(const RegisteredTarget &target, TimePoint now);
+    /// \brief Which daemons open flows at cold targets. \see ColdTargets::setOwners
+    void setColdOwners(std::size_t owners, bool isOwner, TimePoint now)
+    {
+        m_targets.setColdOwners(owners, isOwner, now);
+    }
     /// \brief The target's registration can't be read any more: it takes no new flow, and those
     /// that it holds stay.
     void refuseTarget(TargetId target);
--- a/src/core/direct/direct_targets.cpp
+++ b/src/core/direct/direct_targets.cpp
@@ -28,7 +28,7 @@
 
 } // namespace
 
-bool DirectTargets::put(const RegisteredTarget &entry)
+bool DirectTargets::put(const RegisteredTarget &entry, TimePoint now)
 {
     const auto [found, isNew] = m_targets.try_emplace(entry.id);
     DirectTarget &target = found->second;
@@ -47,6 +47,7 @@
     }
     target.entry = entry;
     target.refused = false;
+    target.coldUntil = std::max(target.coldUntil, now + entry.warmUpLeft);
     target.local = entry.domain == m_domain;
     target.evacuated = m_evacuated.contains(entry.domain);
     target.lapsedAt.reset();
@@ -59,8 +60,11 @@
     const bool isNew
         = evacuated ? m_evacuated.emplace(domain, now).second : m_evacuated.erase(domain) > 0;
     for (auto &[id, target] : m_targets) {
-        if (target.entry.domain == domain)
-            target.evacuated = evacuated;
+        if (target.entry.domain != domain)
+            continue;
+        target.evacuated = evacuated;
+        if (isNew && !evacuated)
+            mayBeCold(target, now);
     }
     return isNew;
 }
@@ -95,6 +99,7 @@
 
 void DirectTargets::expire(TimePoint now, const std::function<void(const DirectTarget &)> &ended)
 {
+    m_cold.expire(now);
     for (auto it = m_targets.begin(); it != m_targets.end();) {
         DirectTarget &target = it->second;
         if (target.lapsedAt && now - *target.lapsedAt >= m_settings.lapsedFor) {
@@ -157,6 +162,28 @@
     return target.probesFailed >= SilentAfterProbes;
 }
 
+const ColdLimit *DirectTargets::coldLimit(const DirectTarget &target, TimePoint now) const noexcept
+{
+    if (now >= target.coldUntil)
+        return nullptr;
+    const auto limit = m_coldLimits.find(target.entry.service);
+    return limit == m_coldLimits.end() ? nullptr : &limit->second;
+}
+
+// Whoever has been away comes back cold, and its own word may be a second behind.
+void DirectTargets::mayBeCold(DirectTarget &target, TimePoint now) noexcept
+{
+    const auto limit = m_coldLimits.find(target.entry.service);
+    if (limit != m_coldLimits.end())
+        target.coldUntil = std::max(target.coldUntil, now + limit->second.lasts);
+}
+
+bool DirectTargets::admits(const DirectTarget &target, TimePoint now) const
+{
+    const ColdLimit *limit = coldLimit(target, now);
+    return !limit || m_cold.admits(target.entry.id, *limit, now);
+}
+
 bool DirectTargets::takesFlows(const DirectTarget &target, TimePoint now) const noexcept
 {
     const TargetBelief belief = this->belief(target);
@@ -268,10 +295,9 @@
     m_last.clear();
     for (const TargetId id : found->second) {
         DirectTarget &target = m_targets.at(id);
-        if (id == except)
+        if (id == except || !admits(target, now))
             continue;
-        Candidates &candidates
-            = target.local || !has(Mechanism::OwnDomainFirst) ? m_near : m_far;
+        Candidates &candidates = target.local || !has(Mechanism::OwnDomainFirst) ? m_near : m_far;
         const TargetBelief belief = this->belief(target);
         if (takesFlows(target, now))
             candidates.known.push_back(&target);
@@ -298,6 +324,8 @@
         best = least(m_last, now, random);
     if (best && belief(*best) == TargetBelief::Suspect)
         best->triedAt = now;
+    if (best && coldLimit(*best, now))
+        m_cold.placed(best->entry.id, now);
     return best;
 }
 
@@ -322,6 +350,7 @@
     } else if (target.probesFailed > 0) {
         target.probesFailed = 0;
         target.unanswered = 0; // Of the time in which it was away.
+        mayBeCold(target, now);
     }
     return suspect != isSuspect(target);
 }
--- a/src/core/direct/direct_targets.h
+++ b/src/core/direct/direct_targets.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/direct/cold_targets.h"
 #include "core/direct/label_table.h"
 #include "core/direct/mechanisms.h"
 #include "core/directory/directory.h"
@@ -68,6 +69,7 @@
     bool refused = false;   ///< \a entry is the last one that could be read; a newer one can't.
     /// Counts the starts under this id that were seen; a flow belongs to one of them.
     std::uint32_t incarnation = 0;
+    TimePoint coldUntil{}; ///< It bears little until then. \see ColdLimit
     std::optional<TimePoint> lapsedAt;
     std::optional<TimePoint> goneAt;
 
@@ -104,7 +106,14 @@
 
     /// \return Whether the target has started again under its id: what was learnt of it is
     /// forgotten then, and its flows are gone.
-    bool put(const RegisteredTarget &entry);
+    bool put(const RegisteredTarget &entry, TimePoint now);
+    /// \brief What the targets of each service bear while they are cold.
+    void setColdLimits(std::map<ServiceId, ColdLimit> limits) { m_coldLimits = std::move(limits); }
+    /// \brief Which daemons open flows at cold targets. \see ColdTargets::setOwners
+    void setColdOwners(std::size_t owners, bool isOwner, TimePoint now)
+    {
+        m_cold.setOwners(owners, isOwner, now);
+    }
     /// \brief The target's registration was replaced by one that can't be read.
     void refuse(TargetId target);
     /// \param lapsed The store was away a moment ago: the target may live on.
@@ -167,6 +176,12 @@
         return m_settings.mechanisms.has(mechanism);
     }
     [[nodiscard]] bool takesFlows(const DirectTarget &target, TimePoint now) const noexcept;
+    /// \return The bound that holds for the target now; null for none.
+    [[nodiscard]] const ColdLimit *coldLimit(const DirectTarget &target,
+                                             TimePoint now) const noexcept;
+    /// \brief The target may have started anew, unseen.
+    void mayBeCold(DirectTarget &target, TimePoint now) noexcept;
+    [[nodiscard]] bool admits(const DirectTarget &target, TimePoint now) const;
     [[nodiscard]] double cost(const DirectTarget &target, double usualMicros,
                               TimePoint now) const noexcept;
     [[nodiscard]] double usualAnswer(const std::vector<DirectTarget *> &among) const noexcept;
@@ -194,6 +209,8 @@
     std::string m_domain;
     DirectSettings m_settings;
     LabelTable m_labels;
+    ColdTargets m_cold;
+    std::map<ServiceId, ColdLimit> m_coldLimits;
     std::map<std::string, TimePoint> m_evacuated; ///< Failure domains.
     std::unordered_map<TargetId, DirectTarget> m_targets;
     std::unordered_map<ServiceId, std::vector<TargetId>> m_services;
--- a/src/core/direct/mechanisms.h
+++ b/src/core/direct/mechanisms.h
@@ -30,11 +30,10 @@
 
 /// Names of Mechanism, for settings and the log.
 inline constexpr std::array<std::string_view, static_cast<std::size_t>(Mechanism::Count)>
-    MechanismNames{"ownDomainFirst", "slowness",     "slownessFades", "openFlowWeight",
-                   "suspicion",      "probes",       "lapses",        "lapsedAlike",
-                   "boundedShare",
-                   "movedOpenings",  "waitForView",  "holdRequests",  "newestFirst",
-                   "priorities"};
+    MechanismNames{"ownDomainFirst", "slowness",      "slownessFades", "openFlowWeight",
+                   "suspicion",      "probes",        "lapses",        "lapsedAlike",
+                   "boundedShare",   "movedOpenings", "waitForView",   "holdRequests",
+                   "newestFirst",    "priorities"};
 
 /// \return The mechanism of that name, or nothing.
 [[nodiscard]] constexpr std::optional<Mechanism> mechanismNamed(std::string_view name) noexcept
--- a/src/core/directory/directory.h
+++ b/src/core/directory/directory.h
@@ -57,12 +57,25 @@
     friend bool operator==(const Route &, const Route &) = default;
 };
 
+/// \brief What a service's targets bear for a while after their start; nothing is stated where the
+/// rate is 0.
+struct ColdLimit
+{
+    Duration lasts{0};
+    double perSecond = 0; ///< New flows, of all daemons together.
+
+    [[nodiscard]] bool isStated() const noexcept { return perSecond > 0; }
+
+    friend bool operator==(const ColdLimit &, const ColdLimit &) = default;
+};
+
 /// \brief All routes of one version of the operator's configuration; never changed once made.
 struct RouteTable
 {
     std::uint64_t version = 0; ///< As the operator counts; grows.
     std::map<Endpoint, Route> routes;
     std::map<ServiceId, std::string> serviceNames;
+    std::map<ServiceId, ColdLimit> coldLimits; ///< Of services that state one.
     Duration idleTimeout{0}; ///< A flow that was silent for longer may be forgotten; 0 for none.
 
     /// \return The route, or null.
--- a/tests/direct/evacuation_test.cpp
+++ b/tests/direct/evacuation_test.cpp
@@ -88,7 +88,7 @@
         cr_assert(fleet.open(caller).target == TargetId{2});
     RegisteredTarget again = DirectFleet::target(1, Here);
     again.startedAt.emplace(std::chrono::milliseconds{5});
-    fleet.router().putTarget(again);
+    fleet.router().putTarget(again, fleet.now);
     cr_assert(fleet.open(20).target == TargetId{2});
     cr_assert(fleet.router().setEvacuated(Here, false, fleet.now));
     cr_assert(fleet.open(21).target == TargetId{1});
--- a/tests/direct/probe_test.cpp
+++ b/tests/direct/probe_test.cpp
@@ -142,9 +142,8 @@
     fleet.now += 200ms;
     (void)fleet.route(again);
     int probes = 0; // The first fails by chance, the second finds the target.
-    (void)fleet.probe([&probes](TargetId) {
-        return probes++ == 0 ? ProbeOutcome::Silent : ProbeOutcome::Alive;
-    });
+    (void)fleet.probe(
+        [&probes](TargetId) { return probes++ == 0 ? ProbeOutcome::Silent : ProbeOutcome::Alive; });
     fleet.now += 400ms;
     cr_assert(std::holds_alternative<DeliverSegment>(fleet.route(again)));
     cr_assert(fleet.belief(placed.target) == TargetBelief::Trusted);
--- a/tests/direct/router_faults_test.cpp
+++ b/tests/direct/router_faults_test.cpp
@@ -147,7 +147,7 @@
     RegisteredTarget reuser = DirectFleet::target(9);
     reuser.service = serviceId("catalogue", "catalogue");
     reuser.address = placed.address;
-    fleet.router().putTarget(reuser);
+    fleet.router().putTarget(reuser, fleet.now);
     const auto verdict = fleet.route(DirectFleet::data(1, placed.label, 0, 100, 1));
     cr_assert(targetOf(verdict) == TargetId{1}, "named in front of the packet, and refused there");
     cr_assert(isAbort(fleet.route(DirectFleet::opening(2))), "never placed at another service");
@@ -161,7 +161,7 @@
     DirectFleet fleet;
     RegisteredTarget entry = DirectFleet::target(1);
     entry.startedAt.emplace(1000ms);
-    fleet.router().putTarget(entry);
+    fleet.router().putTarget(entry, fleet.now);
     const DeliverSegment placed = fleet.establish(1);
     (void)fleet.route(DirectFleet::data(1, placed.label, 0, 100, 1));
     (void)fleet.open(2);
@@ -172,11 +172,11 @@
     cr_assert(target.openFlows == 1 && target.inFlight == 1 && target.opening == 1);
     cr_assert(fleet.router().targets().belief(target) == TargetBelief::Suspect);
 
-    fleet.router().putTarget(entry); // Only a newer report of the same life.
+    fleet.router().putTarget(entry, fleet.now); // Only a newer report of the same life.
     cr_assert(target.openFlows == 1 && target.inFlight == 1);
 
     entry.startedAt.emplace(5000ms);
-    fleet.router().putTarget(entry);
+    fleet.router().putTarget(entry, fleet.now);
     cr_assert(target.openFlows == 0 && target.inFlight == 0 && target.opening == 0);
     cr_assert(fleet.router().targets().belief(target) == TargetBelief::Trusted);
 
@@ -207,6 +207,6 @@
 
     RegisteredTarget moved = DirectFleet::target(1);
     moved.service = serviceId("other", "other");
-    fleet.router().putTarget(moved);
+    fleet.router().putTarget(moved, fleet.now);
     cr_assert(isAbort(fleet.route(DirectFleet::opening(4))));
 }
--- a/tests/direct/router_test.cpp
+++ b/tests/direct/router_test.cpp
@@ -56,7 +56,7 @@
     const DeliverSegment placed = fleet.establish(1);
     RegisteredTarget draining = DirectFleet::target(1);
     draining.draining = true;
-    fleet.router().putTarget(draining);
+    fleet.router().putTarget(draining, fleet.now);
     fleet.add(2);
     for (std::uint16_t caller = 10; caller < 60; ++caller)
         cr_assert(fleet.open(caller).target == TargetId{2});
@@ -239,7 +239,7 @@
     fleet.add(1);
     RegisteredTarget target = DirectFleet::target(2);
     target.service = other;
-    fleet.router().putTarget(target);
+    fleet.router().putTarget(target, fleet.now);
     int atOther = 0;
     for (std::uint16_t caller = 0; caller < 1000; ++caller) {
         const TargetId first = fleet.open(caller).target;
--- a/tests/support/direct_fleet.h
+++ b/tests/support/direct_fleet.h
@@ -48,7 +48,7 @@
 
     void add(std::uint64_t id, const std::string &domain = "alx-raml")
     {
-        m_router.putTarget(target(id, domain));
+        m_router.putTarget(target(id, domain), now);
     }
 
     [[nodiscard]] static Segment opening(std::uint16_t caller, std::uint8_t copy = 0)
