Count a request as work until its route's own timeout

Symptom: a request without an answer stopped counting as load after 10 s, by a constant of the old work. Uploads of the shifted work have 12 s, its feeds 6 s: what still waits counted as nothing, what was long given up counted on.

Change: the route's timeout decides; 10 s stays where a route names none.

Result: directRouter/aRequestCountsAsWorkUntilItsRoutesTimeout (6 and 12 s) failed before (both counted until 10 s).

--- a/src/core/direct/direct_router.cpp
+++ b/src/core/direct/direct_router.cpp
@@ -16,7 +16,8 @@
 /// newest bytes was overtaken on its way; taken for sent again, it made targets suspect that
 /// answered, and ended flows of targets that were leaving in good order.
 constexpr Duration ResentAfter = 150ms;
-/// A request without an answer stops counting as work after this long: its caller has given up.
+/// A request without an answer stops counting as work after this long where its route names no
+/// timeout: its caller has given up.
 constexpr Duration LongestRequest = 10s;
 
 /// \return How long a caller has waited that sends its opening segment for the so-manieth time.
@@ -401,7 +402,8 @@
     for (auto it = m_flows.begin(); it != m_flows.end();) {
         Flow &flow = it->second;
         const Duration silent = now - flow.seenAt;
-        if (flow.requested && silent >= LongestRequest) {
+        const Duration timeout = flow.requested ? promiseOf(it->first).timeout : Duration{0};
+        if (flow.requested && silent >= (timeout > Duration{0} ? timeout : LongestRequest)) {
             if (DirectTarget *target = targetOf(flow))
                 endRequest(flow, *target);
         }
--- a/tests/direct/router_test.cpp
+++ b/tests/direct/router_test.cpp
@@ -248,3 +248,26 @@
     }
     cr_assert(atOther > 60 && atOther < 140, "%d of 1000", atOther);
 }
+
+// Guards against a request that no longer counts as work while its caller still waits, or that
+// counts on long after its caller has given up: the route's own timeout decides.
+Test(directRouter, aRequestCountsAsWorkUntilItsRoutesTimeout)
+{
+    for (const Duration timeout : {6s, 12s}) {
+        auto table = std::make_shared<RouteTable>(*DirectFleet::routes(2));
+        table->routes[DirectFleet::ServiceAddress].promise.timeout = timeout;
+        DirectFleet fleet;
+        fleet.router().setRoutes(table);
+        fleet.add(1);
+        const DeliverSegment placed = fleet.establish(1);
+        (void)fleet.route(DirectFleet::data(1, placed.label, 0, 100, 1));
+        const auto inFlight = [&] {
+            fleet.router().expire(fleet.now);
+            return fleet.router().targets().find(TargetId{1})->inFlight;
+        };
+        fleet.now += timeout - 1ms;
+        cr_assert_eq(inFlight(), 1U);
+        fleet.now += 1ms;
+        cr_assert_eq(inFlight(), 0U);
+    }
+}
