Soak: evacuations, lapsed registrations and cold targets among the faults

The operator evacuates failure domains and takes that back; a third of the registrations lapse while the store is silent for all daemons and come back within two seconds of its return; targets that start say for three seconds that they are cold, and the services state what those bear. The stand-in target judges both: flows that open in a domain evacuated 15 s before (the bound of drains amid faults), and more flows in a second than a cold target has to bear.

A copy of an opening no longer counts as one more late opening.

--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -94,6 +94,7 @@
         : m_logs(seed)
         , m_random(seed)
         , m_largeRandom(~seed)
+        , m_plannedRandom(seed ^ 0x9E3779B97F4A7C15U)
         , m_world(FLAGS_daemons, std::min<std::size_t>(3, FLAGS_daemons), FLAGS_callers)
     {
         m_world.output
@@ -113,6 +114,7 @@
             // In series and overlapping: the next one often comes before the last is over.
             fault();
             largeChange();
+            plannedOrLapsed();
             askSome();
             m_world.run(std::chrono::milliseconds{draw(20, 700)});
         }
@@ -145,6 +147,7 @@
             m_world.startDaemon(index);
         if (!m_world.runUntil([&] { return m_world.inRotation() == FLAGS_daemons; }, 20s))
             m_findings.emplace_back("not all daemons were ready within 20 s of the start");
+        m_world.coldFor = 3s;
         for (const auto &caller : m_world.callers())
             caller->feed(World::routeOf(0), "lending", 50ms);
     }
@@ -219,6 +222,47 @@
         later(5s, [this, thin] { m_world.peersOf(thin).setBytesPerSecond(0); });
     }
 
+    /// \brief Now and then a failure domain is evacuated or restored, or a third of the
+    /// registrations lapse and come back within two seconds. Draws of its own, as above.
+    void plannedOrLapsed()
+    {
+        using Draw = boost::random::uniform_int_distribution<int>;
+        const int drawn = Draw{0, 11}(m_plannedRandom);
+        const auto domain = static_cast<std::size_t>(Draw{0, 2}(m_plannedRandom));
+        if (storeAway())
+            return;
+        if (drawn == 0)
+            lapseSome();
+        if (drawn > 2)
+            return;
+        if (m_world.evacuated(domain)) {
+            say("domain " + std::to_string(domain) + " restored");
+            m_world.restore(domain);
+        } else if (drawn == 1) {
+            say("domain " + std::to_string(domain) + " evacuated");
+            m_world.evacuate(domain, 15s);
+        }
+    }
+
+    void lapseSome()
+    {
+        using Draw = boost::random::uniform_int_distribution<int>;
+        say("registrations lapse while the store is silent for all daemons");
+        for (std::size_t index = 0; index < FLAGS_daemons; ++index)
+            m_world.storeOf(index).set(TcpProxy::Mode::Silent);
+        for (const std::size_t target : m_live) {
+            if (Draw{0, 2}(m_plannedRandom) != 0)
+                continue;
+            m_world.lapse(target);
+            later(std::chrono::milliseconds{3000 + Draw{0, 2000}(m_plannedRandom)},
+                  [this, target] { m_world.registerAgain(target); });
+        }
+        later(3s, [this] {
+            for (std::size_t index = 0; index < FLAGS_daemons; ++index)
+                m_world.storeOf(index).set(TcpProxy::Mode::Pass);
+        });
+    }
+
     void kill(std::size_t index)
     {
         say("kill " + std::to_string(index));
@@ -359,6 +403,10 @@
         healStore();
         for (const std::uint64_t id : m_unregister)
             m_world.unregister(id);
+        for (const std::size_t domain : {0U, 1U, 2U}) {
+            if (m_world.evacuated(domain))
+                m_world.restore(domain);
+        }
         for (std::size_t index = 0; index < FLAGS_daemons; ++index) {
             m_world.storeOf(index).set(TcpProxy::Mode::Pass);
             m_world.peersOf(index).set(TcpProxy::Mode::Pass);
@@ -401,6 +449,10 @@
                std::to_string(targets.wrongService) + " requests at another service's target");
         expect(targets.lateOpens == 0,
                std::to_string(targets.lateOpens) + " flows opened at a drained target");
+        expect(targets.evacuatedOpens == 0,
+               std::to_string(targets.evacuatedOpens) + " flows opened in an evacuated domain");
+        expect(targets.coldOpens == 0,
+               std::to_string(targets.coldOpens) + " flows beyond what a cold target bears");
         const auto twice = std::count_if(targets.runs.begin(), targets.runs.end(),
                                          [](const auto &item) { return item.second > 1; });
         expect(twice == 0, std::to_string(twice) + " requests ran twice");
@@ -419,6 +471,7 @@
     SoakLogs m_logs;
     Random m_random;
     Random m_largeRandom;
+    Random m_plannedRandom;
     World m_world;
     std::vector<std::size_t> m_live; ///< Targets that neither drain nor crashed.
     std::set<std::size_t> m_dead;    ///< Daemons that ended and are to be started again.
--- a/standins/direct/target.h
+++ b/standins/direct/target.h
@@ -31,6 +31,8 @@
     std::vector<TargetRun> record;   ///< Each run, in order.
     std::size_t wrongService = 0;    ///< Requests for another service than the target's.
     std::size_t lateOpens = 0;       ///< Flows that opened at a target drained long before.
+    std::size_t evacuatedOpens = 0;  ///< The same in a failure domain evacuated long before.
+    std::size_t coldOpens = 0;       ///< Flows beyond what a cold target bears in a second.
 };
 
 /// \brief A target that answers its callers directly. A request is "SERVICE ID"; the answer is
@@ -63,6 +65,14 @@
 
     /// \brief Flows that open later than this count as late.
     void closeAt(Clock::time_point time) { m_closedAt = time; }
+    /// \brief Flows that open later than this, before it is taken back, count as evacuated.
+    void evacuateAt(std::optional<Clock::time_point> time) { m_evacuatedAt = time; }
+    /// \brief It is cold until \a time; more than \a most new flows in a second count.
+    void coldUntil(Clock::time_point time, std::size_t most)
+    {
+        m_coldUntil = time;
+        m_mostCold = most;
+    }
 
 private:
     struct Flow
@@ -103,8 +113,8 @@
                 flow.sent = firstSequence() + 1;
             }
             reply(*packet, firstSequence(), Packet::Syn | Packet::Ack, flow, {});
-            if (m_closedAt && Clock::now() > *m_closedAt)
-                ++m_log.lateOpens;
+            if (isNew)
+                judgeOpening(Clock::now());
             return;
         }
         const auto found = m_flows.find(key);
@@ -129,6 +139,18 @@
             request(*packet, flow, daemon);
     }
 
+    void judgeOpening(Clock::time_point now)
+    {
+        m_log.lateOpens += m_closedAt && now > *m_closedAt;
+        m_log.evacuatedOpens += m_evacuatedAt && now > *m_evacuatedAt;
+        if (now >= m_coldUntil)
+            return;
+        constexpr std::chrono::seconds span{1};
+        std::erase_if(m_coldOpens, [&](Clock::time_point at) { return now - at > span; });
+        m_coldOpens.push_back(now);
+        m_log.coldOpens += m_coldOpens.size() > m_mostCold;
+    }
+
     void request(const Packet &packet, Flow &flow, const Endpoint &daemon)
     {
         if (packet.seq != flow.received) {
@@ -185,6 +207,10 @@
     std::chrono::milliseconds m_work;
     TargetLog &m_log;
     std::optional<Clock::time_point> m_closedAt;
+    std::optional<Clock::time_point> m_evacuatedAt;
+    Clock::time_point m_coldUntil{};
+    std::size_t m_mostCold = 0;
+    std::vector<Clock::time_point> m_coldOpens; ///< Within the last second.
     std::map<std::pair<Endpoint, Endpoint>, Flow> m_flows;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/standins/direct/world.h
+++ b/standins/direct/world.h
@@ -151,6 +151,9 @@
     /// \return Version of the newest configuration.
     [[nodiscard]] std::uint64_t newestConfiguration() const noexcept { return m_version; }
 
+    /// \brief How much longer a target that starts now says that it is cold.
+    std::chrono::milliseconds coldFor{0};
+
     /// \brief Starts a target and registers it. \return Its place among the targets.
     std::size_t addTarget(const std::string &service, std::optional<Endpoint> address = {})
     {
@@ -159,14 +162,54 @@
             = address.value_or(Endpoint{0x7F000200U + static_cast<std::uint32_t>(id), m_ports[2]});
         m_targets.push_back(std::make_unique<Target>(m_context, where, id, service, packetPort(),
                                                      std::chrono::milliseconds{20}, targetLog));
-        create(id);
+        if (coldFor.count() > 0)
+            m_targets.back()->coldUntil(Clock::now() + coldFor, MostOpensOfCold);
+        if (const auto since = m_evacuated.find(domainOf(id)); since != m_evacuated.end())
+            m_targets.back()->evacuateAt(Clock::now() + since->second);
+        create(*m_targets.back());
         return m_targets.size() - 1;
     }
 
+    /// \brief The operator evacuates a failure domain; flows that open there \a bound later count
+    /// as late.
+    void evacuate(std::size_t domain, std::chrono::milliseconds bound)
+    {
+        post("/baobabtrail/objects/evacuations",
+             boost::json::serialize(boost::json::object{{"meta", {{"name", nameOfDomain(domain)}}},
+                                                        {"spec", boost::json::object{}}}));
+        m_evacuated[domain] = bound;
+        eachTargetOf(domain, [&](Target &target) { target.evacuateAt(Clock::now() + bound); });
+    }
+    /// \brief Takes an evacuation back.
+    void restore(std::size_t domain)
+    {
+        eachTargetOf(domain, [](Target &target) { target.evacuateAt(std::nullopt); });
+        m_evacuated.erase(domain);
+        test::callHttp(boost::beast::http::verb::delete_, storePort(),
+                       "/baobabtrail/objects/evacuations/" + nameOfDomain(domain));
+    }
+    [[nodiscard]] bool evacuated(std::size_t domain) const { return m_evacuated.contains(domain); }
+
+    /// \brief A live target's registration lapses. \see registerAgain
+    void lapse(std::size_t index)
+    {
+        const std::uint64_t id = m_targets[index]->id();
+        if (m_lapsed.contains(id))
+            return;
+        unregister(id);
+        m_lapsed.insert(id);
+    }
+    void registerAgain(std::size_t index)
+    {
+        if (m_targets[index] && m_lapsed.erase(m_targets[index]->id()) > 0)
+            create(*m_targets[index]);
+    }
+
     /// \brief Reports a target as draining; flows that open there \a bound later count as late.
     void drain(std::size_t index, std::chrono::milliseconds bound)
     {
         const Target &target = *m_targets[index];
+        registerAgain(index);
         put(pathOf(target.id()), bodyOf(target, "draining"));
         m_targets[index]->closeAt(Clock::now() + bound);
     }
@@ -183,7 +226,8 @@
 
     void unregister(std::uint64_t id)
     {
-        test::callHttp(boost::beast::http::verb::delete_, storePort(), pathOf(id));
+        if (m_lapsed.erase(id) == 0)
+            test::callHttp(boost::beast::http::verb::delete_, storePort(), pathOf(id));
     }
 
     [[nodiscard]] const std::vector<std::unique_ptr<Target>> &targets() const noexcept
@@ -215,6 +259,9 @@
     }
 
 private:
+    static constexpr double ColdPerSecond = 12.0;
+    /// What a cold target has to bear in a second at most: half as much again, and five.
+    static constexpr std::size_t MostOpensOfCold = 23;
     static constexpr int FirstMisses = 2; ///< Out of rotation until it answers.
     /// Flows may be ended for so long after a target has gone: its registration lingers, and
     /// callers send again at growing intervals.
@@ -291,6 +338,11 @@
         return path;
     }
 
+    [[nodiscard]] static boost::json::object serviceNamed(const char *name)
+    {
+        return {{"name", name}, {"warmup_s", 3.0}, {"warmup_per_s", ColdPerSecond}};
+    }
+
     void writeRoutes()
     {
         boost::json::array routes;
@@ -304,7 +356,7 @@
         const boost::json::object spec{
             {"version", ++m_version},
             {"routes", routes},
-            {"services", {{{"name", "lending"}}, {{"name", "catalogue"}}}},
+            {"services", {serviceNamed("lending"), serviceNamed("catalogue")}},
             {"limits", {{"idle_timeout_ms", 15000}}}};
         const std::string body = boost::json::serialize(
             boost::json::object{{"meta", {{"name", "main"}}}, {"spec", spec}});
@@ -314,6 +366,20 @@
             put("/baobabtrail/objects/config/main", body);
     }
 
+    [[nodiscard]] static std::size_t domainOf(std::uint64_t id) { return id % 3; }
+    [[nodiscard]] static std::string nameOfDomain(std::size_t domain)
+    {
+        return "domain" + std::to_string(domain);
+    }
+    template <typename Each>
+    void eachTargetOf(std::size_t domain, Each each)
+    {
+        for (const auto &target : m_targets) {
+            if (target && domainOf(target->id()) == domain)
+                each(*target);
+        }
+    }
+
     [[nodiscard]] static std::string nameOf(std::uint64_t id)
     {
         constexpr std::string_view digits = "0123456789abcdef";
@@ -328,25 +394,24 @@
         return "/baobabtrail/objects/servers/" + nameOf(id);
     }
 
-    [[nodiscard]] static std::string bodyOf(const Target &target, const std::string &state)
+    [[nodiscard]] std::string bodyOf(const Target &target, const std::string &state) const
     {
         return boost::json::serialize(
             boost::json::object{{"meta", {{"name", nameOf(target.id())}}},
                                 {"spec",
                                  {{"service", target.service()},
                                   {"address", toString(target.address())},
-                                  {"zone", "domain" + std::to_string(target.id() % 3)},
+                                  {"zone", nameOfDomain(domainOf(target.id()))},
                                   {"version", "v1"},
                                   {"slots", 2},
                                   {"state", state},
-                                  {"warmup_left_ms", 0},
+                                  {"warmup_left_ms", coldFor.count()},
                                   {"seq", 1}}}});
     }
 
-    void create(std::uint64_t id)
+    void create(const Target &target)
     {
-        post("/baobabtrail/objects/servers", bodyOf(*m_targets.back(), "ready"));
-        (void)id;
+        post("/baobabtrail/objects/servers", bodyOf(target, "ready"));
     }
 
     void put(const std::string &path, const std::string &body)
@@ -409,8 +474,10 @@
     Rotation m_rotation;
     std::set<int> m_routes{0, 1};
     std::map<int, Clock::time_point> m_removedAt;
+    std::map<std::size_t, std::chrono::milliseconds> m_evacuated; ///< Domains, with their bounds.
     std::uint64_t m_version = 0;
     std::uint64_t m_lastTarget = 0;
+    std::set<std::uint64_t> m_lapsed; ///< Targets whose registrations are missing.
     std::optional<Clock::time_point> m_lastCrash;
     std::vector<std::unique_ptr<Target>> m_targets;
     std::vector<std::unique_ptr<Caller>> m_callers;
