Try a target that was silent by one flow once its address answers again

Cause: servers crash for good there and their addresses go to others after two seconds. A connection to the address then shows the new one's life; the old target was trusted again and every daemon sent it flows in vain.

Ruled out: asking for the health page, which names the server; it takes a slot and a call for each probe, and one flow tells as much.

Change: where two probes had failed, an answer only makes a trial due. One flow goes there; its answer ends the suspicion. A single failed probe before an answer was a lost packet and changes nothing.

Test: probes/anAddressThatAnswersAgainIsTriedByOneFlow. The check of onlyAProbeBringsADarkTargetBack asked for trust at once; it asks for exactly one flow now, which is as strict and what is meant.

--- a/src/core/direct/direct_targets.cpp
+++ b/src/core/direct/direct_targets.cpp
@@ -347,9 +347,13 @@
     target.probedAt = now;
     if (!alive) {
         ++target.probesFailed;
-    } else if (target.probesFailed > 0) {
+    } else if (!isSilent(target)) {
+        target.probesFailed = 0; // A packet of the probe was lost.
+    } else {
+        // A machine answers there again, but it may be another target's by now: one flow finds out.
         target.probesFailed = 0;
-        target.unanswered = 0; // Of the time in which it was away.
+        target.unanswered = std::max(target.unanswered, m_settings.suspectAfter);
+        target.triedAt = now - m_settings.trialEvery;
         mayBeCold(target, now);
     }
     return suspect != isSuspect(target);
--- a/tests/direct/probe_test.cpp
+++ b/tests/direct/probe_test.cpp
@@ -79,6 +79,31 @@
     fleet.now += 2s;
     fleet.router().expire(fleet.now);
     cr_assert_eq(fleet.probe(ProbeOutcome::Alive), 1U);
+    std::vector<DeliverSegment> tried;
+    for (std::uint16_t caller = 100; caller < 140; ++caller) {
+        const DeliverSegment placed = fleet.open(caller);
+        if (placed.target == dark)
+            tried.push_back(placed);
+    }
+    cr_assert_eq(tried.size(), 1U);
+    cr_assert(fleet.belief(dark) == TargetBelief::Suspect);
+}
+
+// Guards against an address that answers connections since another target has taken it: flows to
+// the one that is gone would be lost there.
+Test(probes, anAddressThatAnswersAgainIsTriedByOneFlow)
+{
+    ProbedFleet fleet{2};
+    const TargetId dark = fleet.openInVain(1);
+    (void)fleet.probe(ProbeOutcome::Silent);
+    fleet.now += 3s;
+    fleet.router().expire(fleet.now);
+    (void)fleet.probe(ProbeOutcome::Alive);
+    std::uint16_t caller = 9;
+    DeliverSegment placed;
+    while (placed.target != dark)
+        placed = fleet.open(++caller);
+    (void)fleet.route(DirectFleet::data(caller, placed.label, 0, 0, 1));
     cr_assert(fleet.belief(dark) == TargetBelief::Trusted);
 }
 
