Take back the bound on a target's share of new flows: it costs more than it brings

Tried: a target gets at most a multiple of its even share of new flows, so that no empty one is filled up at once by daemons that are blind to each other.

--- a/src/core/direct/direct_targets.cpp
+++ b/src/core/direct/direct_targets.cpp
@@ -245,28 +245,14 @@
     return known;
 }
 
-std::size_t DirectTargets::select(std::vector<DirectTarget *> &among, Random &random) const
-{
-    const std::size_t most = m_settings.mostShares;
-    if (among.size() <= most || !has(Mechanism::BoundedShare))
-        return among.size();
-    for (std::size_t index = 0; index < most; ++index) {
-        boost::random::uniform_int_distribution<std::size_t> draw{index, among.size() - 1};
-        std::swap(among[index], among[draw(random)]);
-    }
-    return most;
-}
-
-DirectTarget *DirectTargets::least(std::vector<DirectTarget *> &among, TimePoint now,
+DirectTarget *DirectTargets::least(const std::vector<DirectTarget *> &among, TimePoint now,
                                    Random &random) const
 {
     const double usual = usualAnswer(among);
     DirectTarget *best = nullptr;
     double bestCost = 0;
     std::uint32_t ties = 0;
-    const std::size_t count = select(among, random);
-    for (std::size_t index = 0; index < count; ++index) {
-        DirectTarget *target = among[index];
+    for (DirectTarget *target : among) {
         const double cost = this->cost(*target, usual, now);
         if (best && cost > bestCost)
             continue;
--- a/src/core/direct/direct_targets.h
+++ b/src/core/direct/direct_targets.h
@@ -53,9 +53,6 @@
     /// Weight of an open flow beside a request in flight: a feed asks about once a second, and an
     /// answer takes some 25 to 60 ms.
     double openFlowWeight = 0.04;
-    /// A target gets at most so many times its even share of new flows, however little loaded it
-    /// looks: to all daemons alike an empty one, or the first that is known again, looks best.
-    std::size_t mostShares = 8;
     OverloadSettings overload{};
     Mechanisms mechanisms{}; ///< What an experiment leaves out.
 };
@@ -200,11 +197,8 @@
 
     /// \return Those among which to choose.
     [[nodiscard]] std::vector<DirectTarget *> &eligible(Candidates &candidates) const;
-    [[nodiscard]] DirectTarget *least(std::vector<DirectTarget *> &among, TimePoint now,
+    [[nodiscard]] DirectTarget *least(const std::vector<DirectTarget *> &among, TimePoint now,
                                       Random &random) const;
-    /// \brief Moves a chance selection to the front where more are there than one may be compared
-    /// with. \return Its size.
-    [[nodiscard]] std::size_t select(std::vector<DirectTarget *> &among, Random &random) const;
 
     std::string m_domain;
     DirectSettings m_settings;
--- a/src/core/direct/mechanisms.h
+++ b/src/core/direct/mechanisms.h
@@ -19,7 +19,6 @@
     Probes,         ///< Targets that leave a flow without a sign are tried by a connection.
     Lapses,         ///< Registrations that went with an outage of the store may come back.
     LapsedAlike,    ///< While most have lapsed, these get new flows like the others.
-    BoundedShare,   ///< A target gets at most a multiple of its even share of new flows.
     MovedOpenings,  ///< A first segment that comes again may go to another target.
     WaitForView,    ///< Segments that come before the directory wait for it.
     HoldRequests,   ///< Requests on open flows wait here while their target is saturated.
@@ -30,10 +29,10 @@
 
 /// Names of Mechanism, for settings and the log.
 inline constexpr std::array<std::string_view, static_cast<std::size_t>(Mechanism::Count)>
-    MechanismNames{"ownDomainFirst", "slowness",      "slownessFades", "openFlowWeight",
-                   "suspicion",      "probes",        "lapses",        "lapsedAlike",
-                   "boundedShare",   "movedOpenings", "waitForView",   "holdRequests",
-                   "newestFirst",    "priorities"};
+    MechanismNames{"ownDomainFirst", "slowness",    "slownessFades", "openFlowWeight",
+                   "suspicion",      "probes",      "lapses",        "lapsedAlike",
+                   "movedOpenings",  "waitForView", "holdRequests",  "newestFirst",
+                   "priorities"};
 
 /// \return The mechanism of that name, or nothing.
 [[nodiscard]] constexpr std::optional<Mechanism> mechanismNamed(std::string_view name) noexcept
