--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -2,10 +2,10 @@
 // targets, members, request records and pending opens, from one TrafficNode in one process.
 // docs/CAPACITY.md quotes what this prints.
 
+#include "command_line.h"
 #include "core/traffic/traffic_node.h"
 #include "wire/codec.h"
 
-#include <gflags/gflags.h>
 #include <malloc.h>
 
 #include <algorithm>
@@ -245,7 +245,9 @@
 
 int main(int argc, char **argv)
 {
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    baobabtrail::readFlags(
+        argc, argv,
+        "bench-capacity [flags]: heap and processor time of the traffic side by its size");
     printConfiguration();
     printHello();
     printSlope(
--- a/bench/control.cpp
+++ b/bench/control.cpp
@@ -1,6 +1,7 @@
 // Costs and delays of the control side as functions of the number of daemons and of changes, in
 // virtual time: platform calls and bytes are exact, delays follow from the latencies of the fake.
 
+#include "command_line.h"
 #include "core/config/apply.h"
 #include "core/config/record_codec.h"
 #include "core/config/snapshot.h"
@@ -12,7 +13,6 @@
 #include <boost/accumulators/statistics/max.hpp>
 #include <boost/accumulators/statistics/mean.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
-#include <gflags/gflags.h>
 #include <malloc.h>
 
 #include <algorithm>
@@ -323,7 +323,7 @@
 
 int main(int argc, char **argv)
 {
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    baobabtrail::readFlags(argc, argv, "bench-control [flags]: the control side in virtual time");
     std::cout
         << "| domains × daemons, watchers | calls/s, quiet | calls per change | calls per start | "
            "bytes/s sent, mean / max | bytes sent per change, mean / max | "
--- a/bench/daemon.cpp
+++ b/bench/daemon.cpp
@@ -3,14 +3,13 @@
 // own; rates are for each second of that thread's processor time.
 
 #include "daemon/daemon.h"
+#include "command_line.h"
 #include "core/access_key.h"
 #include "core/keys.h"
 #include "wire/codec.h"
 
 #include <boost/asio/ip/udp.hpp>
 
-#include <gflags/gflags.h>
-
 #include <algorithm>
 #include <atomic>
 #include <csignal>
@@ -250,7 +249,8 @@
 
 int main(int argc, char **argv)
 {
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    baobabtrail::readFlags(
+        argc, argv, "bench-daemon [flags]: a whole daemon in one process, beside a bare relay");
     Load load;
     const Settings chosen = settings();
     const FlowDatagrams datagrams{chosen.clusterSecret, load.address()};
--- a/bench/decisions.cpp
+++ b/bench/decisions.cpp
@@ -2,10 +2,9 @@
 // of a token, the question for the next timer included. Best and median of
 // several rounds, so that the noise of a shared machine shows.
 
+#include "command_line.h"
 #include "core/traffic/traffic_node.h"
 
-#include <gflags/gflags.h>
-
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
@@ -228,8 +227,7 @@
 
 int main(int argc, char **argv)
 {
-    gflags::SetUsageMessage("measures the cost of the core's decisions");
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    baobabtrail::readFlags(argc, argv, "bench-decisions [flags]: the cost of the core's decisions");
     Bench bench;
     bench.tokenCheck();
     bench.flowData();
--- a/bench/directory.cpp
+++ b/bench/directory.cpp
@@ -3,11 +3,10 @@
 /// between daemons, time until a change is in force, and processor time, by number of daemons and
 /// by who watches the store.
 
+#include "command_line.h"
 #include "support/configuration_text.h"
 #include "support/direct_cluster.h"
 
-#include <gflags/gflags.h>
-
 #include <algorithm>
 #include <ctime>
 #include <iomanip>
@@ -206,7 +205,9 @@
 
 int main(int argc, char **argv)
 {
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    baobabtrail::readFlags(
+        argc, argv,
+        "bench-directory [flags]: the directory with direct forwarding, in virtual time");
     std::cout << "way          daemons   calls/s  bytes/s  most     asked/s   core, %  force ms"
                  "    worst   outage\n";
     constexpr std::size_t roots = 3;
--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -5,8 +5,7 @@
 #include "bench/policy/decision_cost.h"
 #include "bench/policy/flow_run.h"
 #include "bench/policy/product_way.h"
-
-#include <gflags/gflags.h>
+#include "command_line.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -191,7 +190,8 @@
 
 int main(int argc, char **argv)
 {
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    baobabtrail::readFlags(
+        argc, argv, "bench-policy [flags]: ways to place flows and requests, in virtual time");
     std::printf("bench-policy --seed=%llu\n", static_cast<unsigned long long>(FLAGS_seed));
     std::printf(
         "  way                p50 ms  p99 ms p99.9ms  /best  imb@t imb+q  goodput  refused%% "
--- a/bench/relay.cpp
+++ b/bench/relay.cpp
@@ -6,12 +6,11 @@
 /// datagram. Rates are datagrams for each second of processor time of the relay's thread, so that
 /// the threads that send don't count.
 
+#include "command_line.h"
 #include "core/keys.h"
 #include "core/traffic/traffic_node.h"
 #include "wire/codec.h"
 
-#include <gflags/gflags.h>
-
 #include <algorithm>
 #include <atomic>
 #include <chrono>
@@ -399,7 +398,8 @@
 
 int main(int argc, char **argv)
 {
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    baobabtrail::readFlags(argc, argv,
+                           "bench-relay [flags]: a bare relay, beside which daemons are measured");
     const Socket sink;
     const Traffic traffic{sink.address()};
     std::cout << FLAGS_payload << " bytes of payload, batches of " << BatchSize << ", median of "
--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -6,11 +6,11 @@
 ///
 /// A seed gives the same faults at the same times; what the processes do in between differs.
 
+#include "command_line.h"
 #include "core/random.h"
 #include "direct/world.h"
 
 #include <boost/random/uniform_int_distribution.hpp>
-#include <gflags/gflags.h>
 
 #include <filesystem>
 #include <fstream>
@@ -504,9 +504,9 @@
 
 int main(int argc, char **argv)
 {
-    gflags::SetUsageMessage("strikes real daemons with faults from outside, and judges what callers"
-                            " and targets see");
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    readFlags(argc, argv,
+              "bench-soak [flags]: strikes real daemons with faults from outside, and judges what "
+              "callers and targets see");
     try {
         return runSeeds() == 0 ? 0 : 1;
     } catch (const std::exception &error) {
--- a/bench/whole.cpp
+++ b/bench/whole.cpp
@@ -4,10 +4,9 @@
 // some 35 processes at a time.
 //     build/release/bench-whole [--scale 1.0]
 
+#include "command_line.h"
 #include "whole/run.h"
 
-#include <gflags/gflags.h>
-
 #include <cstdio>
 
 DEFINE_double(scale, 1.0, "share of the connections; the request rates stay");
@@ -37,7 +36,8 @@
 
 int main(int argc, char **argv)
 {
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    baobabtrail::readFlags(argc, argv,
+                           "bench-whole [flags]: both users' deployments as real processes");
     RunPlan run;
     run.scale = FLAGS_scale;
     std::printf("| deployment | placement | flows opened / open / broken | imbalance of flows "
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -1,10 +1,10 @@
+#include "command_line.h"
 #include "core/access_key.h"
 #include "ctl/admin_client.h"
 #include "ctl/explain_flow.h"
 #include "ctl/session.h"
 #include "ctl/top.h"
 
-#include <gflags/gflags.h>
 #include <sodium.h>
 
 #include <array>
@@ -160,8 +160,7 @@
 
 int main(int argc, char **argv)
 {
-    gflags::SetUsageMessage(Usage);
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    readFlags(argc, argv, Usage);
     try {
         if (sodium_init() < 0)
             throw std::runtime_error("libsodium can't be initialized");
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,9 +1,8 @@
+#include "command_line.h"
 #include "daemon/daemon.h"
 #include "daemon/direct/direct_daemon.h"
 #include "daemon/settings/settings_file.h"
 
-#include <gflags/gflags.h>
-
 #include <chrono>
 #include <exception>
 #include <iostream>
@@ -83,8 +82,7 @@
 int main(int argc, char **argv)
 {
     gflags::SetVersionString(Version);
-    gflags::SetUsageMessage("baobabtraild --settings FILE [--check]");
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    readFlags(argc, argv, "baobabtraild --settings FILE [--check]");
     if (FLAGS_settings.empty() || argc > 1) {
         std::cerr << "usage: " << gflags::ProgramUsage() << '\n';
         return static_cast<int>(ExitStatus::BadSettings);
--- a/standins/caller/main.cpp
+++ b/standins/caller/main.cpp
@@ -3,13 +3,12 @@
 
 #include "caller/feeds.h"
 #include "caller/requests.h"
+#include "command_line.h"
 #include "support/http_server.h"
 #include "support/process.h"
 #include "support/udp_port.h"
 #include "wire/codec.h"
 
-#include <gflags/gflags.h>
-
 DEFINE_string(fabric, "", "the fabric's address for callers");
 DEFINE_string(tenant, "alexandria", "tenant of the service");
 DEFINE_string(service, "lending", "name of the service");
@@ -149,7 +148,7 @@
 
 int main(int argc, char **argv)
 {
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    baobabtrail::readFlags(argc, argv, "standin-caller [flags]: callers of own frames");
     boost::asio::io_context context;
     Caller caller{context, settingsFromFlags()};
     const HttpServer server{context, static_cast<std::uint16_t>(FLAGS_control_port),
--- a/standins/fabric/main.cpp
+++ b/standins/fabric/main.cpp
@@ -1,12 +1,12 @@
 /// \file
 /// \brief Stand-in for the fabric: hands each datagram to any daemon.
 
+#include "command_line.h"
 #include "fabric/fabric.h"
 #include "support/process.h"
 
 #include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/split.hpp>
-#include <gflags/gflags.h>
 
 DEFINE_uint32(callers_port, 0, "UDP port that callers send to; 0 for a free one");
 DEFINE_uint32(uplink_port, 0, "UDP port that targets send to; 0 for a free one");
@@ -17,7 +17,8 @@
 int main(int argc, char **argv)
 {
     using namespace baobabtrail::standins;
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    baobabtrail::readFlags(argc, argv,
+                           "standin-fabric [flags]: the fabric in front of the daemons");
 
     boost::asio::io_context context;
     Fabric fabric{context, static_cast<std::uint16_t>(FLAGS_callers_port),
--- a/standins/platform/main.cpp
+++ b/standins/platform/main.cpp
@@ -1,11 +1,10 @@
 /// \file
 /// \brief Stand-in for the platform: object store and VM list, with faults on demand.
 
+#include "command_line.h"
 #include "platform/platform_service.h"
 #include "support/process.h"
 
-#include <gflags/gflags.h>
-
 DEFINE_uint32(port, 0, "TCP port; 0 for a free one");
 DEFINE_uint64(seed, 1, "seed of what is drawn at random");
 DEFINE_double(writes_per_second, 0, "limit on writes; 0 for none");
@@ -15,7 +14,8 @@
 int main(int argc, char **argv)
 {
     using namespace baobabtrail::standins;
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    baobabtrail::readFlags(argc, argv,
+                           "standin-platform [flags]: the platform's store and VM list");
 
     boost::asio::io_context context;
     Switches switches;
--- a/standins/target/main.cpp
+++ b/standins/target/main.cpp
@@ -1,13 +1,12 @@
 /// \file
 /// \brief Stand-in for a target: holds flows and runs requests; records every run.
 
+#include "command_line.h"
 #include "support/http_server.h"
 #include "support/process.h"
 #include "target/flow_table.h"
 #include "target/request_server.h"
 
-#include <gflags/gflags.h>
-
 #include <sstream>
 
 DEFINE_string(tenant, "alexandria", "tenant of the service");
@@ -139,7 +138,7 @@
 
 int main(int argc, char **argv)
 {
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    baobabtrail::readFlags(argc, argv, "standin-target [flags]: a target of own frames");
     boost::asio::io_context context;
     TargetState state{settingsFromFlags()};
     FlowTable flows{context, static_cast<std::uint16_t>(FLAGS_flows_port), state};
