--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -34,7 +34,7 @@
 using namespace baobabtrail::ctl;
 using language::Status;
 
-constexpr const char *Usage = R"(asks and commands a baobabtrail system
+constexpr const char *Usage = R"(baobabctl asks and commands a baobabtrail system
 
   baobabctl [flags] STATEMENT        one statement from the arguments
   baobabctl [flags] < SCRIPT         one statement on each line
