Soak: register lapsed targets again only while the store answers

Change: what is due while the store is away waits, as other writes do; what is left is registered again before the verdict.

--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -255,7 +255,7 @@
                 continue;
             m_world.lapse(target);
             later(std::chrono::milliseconds{3000 + Draw{0, 2000}(m_plannedRandom)},
-                  [this, target] { m_world.registerAgain(target); });
+                  [this, target] { registerAgain(target); });
         }
         later(3s, [this] {
             for (std::size_t index = 0; index < FLAGS_daemons; ++index)
@@ -263,6 +263,14 @@
         });
     }
 
+    void registerAgain(std::size_t target)
+    {
+        if (storeAway())
+            later(1s, [this, target] { registerAgain(target); });
+        else
+            m_world.registerAgain(target);
+    }
+
     void kill(std::size_t index)
     {
         say("kill " + std::to_string(index));
@@ -403,6 +411,8 @@
         healStore();
         for (const std::uint64_t id : m_unregister)
             m_world.unregister(id);
+        for (const std::size_t target : m_live)
+            m_world.registerAgain(target);
         for (const std::size_t domain : {0U, 1U, 2U}) {
             if (m_world.evacuated(domain))
                 m_world.restore(domain);
