Split DirectNode's directory from its segments

direct_node.cpp had grown to 513 lines with two jobs: what becomes of segments, and what is learnt and told of the directory.

--- a/src/core/direct/direct_node.cpp
+++ b/src/core/direct/direct_node.cpp
@@ -2,8 +2,6 @@
 
 #include "core/directory/keys.h"
 
-#include <boost/random/uniform_int_distribution.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -16,19 +14,12 @@
 /// the three seconds after which a new route has to be in force. A view is usually confirmed
 /// each 1.5 s at a root, and its followers hear of that within a second.
 constexpr Duration FreshFor = 2900ms;
-/// When no daemon answers any more, all that are left ask the store within this time.
-constexpr Duration LostSpread = 200ms;
-/// When the others answer that the store is away, each looks for itself within this time, in case
-/// that it is away for them alone.
-constexpr Duration StaleSpread = 400ms;
 /// Between two looks at requests that are held: short beside the latency that any route promises.
 constexpr Duration ServeHeldPeriod = 10ms;
 /// One watch for evacuations. It may be long: a change ends it at once, probes notice within three
 /// seconds that its connection has gone silent, and the watches of the other collections that the
 /// store was away or has dropped its watches.
 constexpr Duration EvacuationsWatch = 30s;
-/// A confirmation that is younger by less than this is no news to followers.
-constexpr Duration LeastNewsOfAge = 200ms;
 
 [[nodiscard]] FeedSettings feedSettings(FeedSettings settings, Vouching vouching) noexcept
 {
@@ -286,224 +277,6 @@
     return std::max(m_routes.copy.version(), m_targets.copy.version());
 }
 
-void DirectNode::takeRoutes(const CollectionChange &change)
-{
-    for (const StoredObject &object : change.written) {
-        auto read = m_ports.reader.routes(object);
-        if (auto *finding = std::get_if<DirectoryFinding>(&read)) {
-            refuse(object.key, std::move(*finding), false);
-            continue;
-        }
-        m_refused.erase(object.key);
-        auto routes = std::make_shared<const RouteTable>(std::get<RouteTable>(std::move(read)));
-        if (routes->version < m_router.routes().version)
-            continue;
-        m_router.setRoutes(routes);
-        notice(RoutesInForce{*routes, change.version});
-    }
-}
-
-void DirectNode::takeTargets(const CollectionChange &change)
-{
-    const TimePoint now = m_ports.feed.now();
-    for (const StoredObject &object : change.written) {
-        const auto read = m_ports.reader.target(object);
-        if (const auto *finding = std::get_if<DirectoryFinding>(&read)) {
-            refuseTarget(object.key, *finding);
-            continue;
-        }
-        m_refused.erase(object.key);
-        m_router.putTarget(std::get<RegisteredTarget>(read), now);
-    }
-    for (const std::string &key : change.removed) {
-        m_refused.erase(key);
-        if (const auto target = m_ports.reader.targetId(key))
-            m_router.removeTarget(*target, change.afterOutage, now);
-    }
-}
-
-// The key says all: an entry that can't be read was still put there to empty the domain.
-void DirectNode::takeEvacuations(const CollectionChange &change)
-{
-    const auto set = [&](const std::string &key, bool evacuated) {
-        const std::string domain = key.substr(EvacuationsPrefix.size());
-        if (m_router.setEvacuated(domain, evacuated, m_ports.feed.now()))
-            notice(DomainEvacuated{domain, !evacuated, m_router.targets().openFlowsIn(domain),
-                                   change.version});
-    };
-    for (const StoredObject &object : change.written)
-        set(object.key, true);
-    for (const std::string &key : change.removed)
-        set(key, false);
-}
-
-void DirectNode::askForEvacuations()
-{
-    m_evacuations.store.askAnew();
-}
-
-void DirectNode::storeContact(Collection &collection, const FeedContact &end)
-{
-    if (end.historyGone)
-        notice(HistoryLost{collection.name, collection.copy.version()});
-    const bool lost = !end.failure.empty();
-    if (&collection != &m_evacuations && (end.historyGone || (!lost && collection.storeLost)))
-        askForEvacuations();
-    collection.byStore = !lost;
-    if (!lost && !end.historyGone) {
-        tellFollowers();
-        // A source that has no copy yet, or that the store refuses, and with it all that have their
-        // copies from there, takes this daemon's once it is told of them.
-        const bool first = hasCopies() && !std::exchange(m_hadCopies, hasCopies());
-        const bool helps = byStore() && m_peers.state() == PeerState::Stale;
-        if ((first || helps) && !m_roots.empty())
-            m_peers.tellSource();
-    }
-    if (lost == collection.storeLost)
-        return;
-    collection.storeLost = lost;
-    notice(StoreContact{collection.name, lost, end.failure, ageOf(collection)});
-}
-
-void DirectNode::peerContact(PeerState state)
-{
-    notice(PeerContact{state, m_peers.source(), viewAge()});
-    if (m_isRoot) {
-        // Those that wait at each other, as each is refused by the store, would hear much later.
-        if (state == PeerState::Fresh)
-            m_peers.tellRoots();
-        return;
-    }
-    for (Collection *collection : all()) {
-        if (state == PeerState::Fresh || state == PeerState::Waiting)
-            stopStore(*collection);
-        else if (!collection->copy.complete())
-            collection->store.start(true); // Callers wait; nothing is there to go on with.
-        else
-            askStoreLater(*collection, state == PeerState::Lost ? LostSpread : StaleSpread);
-    }
-}
-
-void DirectNode::peersAnswered(bool changed)
-{
-    m_hadCopies = hasCopies();
-    if (!changed) {
-        tellFollowers();
-        return;
-    }
-    m_relay.changed();
-    announceReady();
-}
-
-SharedCollection DirectNode::shared(Collection &collection)
-{
-    return {
-        collection.prefix, &collection.copy,
-        [this, take = collection.take](const CollectionChange &change) { (this->*take)(change); }};
-}
-
-PeerPorts DirectNode::peerPorts()
-{
-    PeerPorts ports = m_ports.peers;
-    ports.ended = [this](const QuestionEnd &end) { notice(PeerAsked{end}); };
-    return ports;
-}
-
-PeerHandlers DirectNode::peerHandlers()
-{
-    return {[this](PeerState state) { peerContact(state); },
-            [this](bool changed) { peersAnswered(changed); }};
-}
-
-ViewRelay::Ports DirectNode::relayPorts()
-{
-    ViewRelay::Ports ports;
-    ports.now = m_ports.feed.now;
-    ports.after = m_ports.feed.after;
-    ports.lineage = [this] { return lineage(); };
-    ports.isRoot = [this](const Endpoint &daemon) {
-        return std::find(m_roots.begin(), m_roots.end(), daemon) != m_roots.end();
-    };
-    ports.fresher = [this](const Endpoint &fresher) { m_peers.suggest(fresher); };
-    ports.turnsAway = [this](const TurningAway &turning) { notice(turning); };
-    return ports;
-}
-
-Lineage DirectNode::lineage() const
-{
-    const PeerState state = m_peers.state();
-    const bool lost = !byStore() && state == PeerState::Lost;
-    // One that has no copy yet is not alone as long as somebody on its way up looks after the
-    // store; a root does so itself.
-    const bool alone = lost && (hasCopies() || !(m_isRoot || m_peers.isLinked()));
-    Lineage lineage;
-    // A root that the store refuses may have its copy from another daemon.
-    if (!byStore() && (!m_isRoot || state == PeerState::Fresh) && !alone)
-        lineage = m_peers.lineage();
-    // Also without the store a root looks after it, unless it hears nobody: then others had better
-    // look elsewhere.
-    if ((m_isRoot || byStore()) && !alone) {
-        lineage.origin = m_identity.address;
-        lineage.pulse
-            = static_cast<std::uint64_t>(m_ports.feed.now().time_since_epoch() / PulseUnit);
-    }
-    lineage.path.insert(lineage.path.begin(), m_identity.address);
-    return lineage;
-}
-
-// Followers that wait hear at once that the copies were confirmed, or that this daemon is linked:
-// their own copies are then hardly older than these. Two daemons that ask each other don't go on
-// for ever, since small steps are not told.
-void DirectNode::tellFollowers()
-{
-    const auto age = viewAge();
-    const TimePoint confirmed = age ? m_ports.feed.now() - *age : m_toldAt;
-    const TimePoint heard = m_peers.heardAt().value_or(m_pulseAt);
-    const bool confirmedAnew = confirmed - m_toldAt >= LeastNewsOfAge;
-    const bool pulse = heard - m_pulseAt >= LeastNewsOfPulse * PulseUnit;
-    if (!confirmedAnew && !pulse)
-        return;
-    m_toldAt = confirmed;
-    m_pulseAt = heard;
-    m_relay.changed();
-}
-
-// At a chance time: hundreds of daemons lose the same peer at the same moment, and all of their
-// calls would reach the store at once.
-void DirectNode::askStoreLater(Collection &collection, Duration most)
-{
-    using Draw = boost::random::uniform_int_distribution<Duration::rep>;
-    const Duration wait{Draw{0, most.count()}(m_random)};
-    m_ports.feed.after(wait, [this, &collection, alive = std::weak_ptr{m_alive}] {
-        if (alive.expired() || m_isRoot || collection.store.running())
-            return;
-        const PeerState state = m_peers.state();
-        if (state == PeerState::Stale || state == PeerState::Lost)
-            collection.store.start(true);
-    });
-}
-
-// An entry that can't be read names no target to use, also where its key named a good one before:
-// whoever wrote it may have meant that target to go. Its open flows stay where they are.
-void DirectNode::refuseTarget(const std::string &key, DirectoryFinding finding)
-{
-    const auto target = m_ports.reader.targetId(key);
-    const bool replaces = target && m_router.targets().find(*target) != nullptr;
-    if (replaces)
-        m_router.refuseTarget(*target);
-    refuse(key, std::move(finding), replaces);
-}
-
-void DirectNode::refuse(const std::string &key, DirectoryFinding finding, bool replaces)
-{
-    std::string text = finding.place + ": " + finding.text;
-    const auto [known, isNew] = m_refused.try_emplace(key, text);
-    if (!isNew && known->second == text)
-        return;
-    known->second = std::move(text);
-    notice(ObjectRefused{std::move(finding), replaces});
-}
-
 void DirectNode::notice(const NodeNotice &notice) const
 {
     if (m_ports.noticed)
--- a/src/core/direct/direct_node.h
+++ b/src/core/direct/direct_node.h
@@ -214,9 +214,6 @@
     void takeRoutes(const CollectionChange &change);
     void takeTargets(const CollectionChange &change);
     void takeEvacuations(const CollectionChange &change);
-    /// \brief The store was away from the watches, or has dropped them: it may have dropped the
-    /// one of the evacuations too, which would hear of that much later.
-    void askForEvacuations();
     void storeContact(Collection &collection, const FeedContact &end);
     void peerContact(PeerState state);
     /// \brief The peers have answered for the copies.
