Take a refused connection for a full target, not for a dark one

Cause: a probe that is refused counted like one that nobody answers. The stand-in's targets took no connections at all; a real one at its most connections refuses too, and serves the flows that it has.

Ruled out: the target's record: it had not crashed, nor had any other in the 20 s before; the daemon was not paused.

Change: a refusal keeps new flows away, as before, and is no ground for ending any; two probes in a row that nobody answered are. The stand-in's targets take connections now, as real ones do, so that both outcomes occur.

Tests: probes/aFlowOfALivingTargetIsNeverEnded with refusals (failed before), probes/aTargetThatRefusesConnectionsGetsNoNewFlow.

--- a/src/core/direct/direct_router_probes.cpp
+++ b/src/core/direct/direct_router_probes.cpp
@@ -38,12 +38,11 @@
             m_probes.want(probe.target);
         return;
     }
-    const bool alive = outcome == ProbeOutcome::Alive;
-    if (m_targets.probed(*target, alive, now) && m_observer.believed)
+    if (m_targets.probed(*target, outcome, now) && m_observer.believed)
         m_observer.believed({*target, m_targets.belief(*target)});
-    if (alive)
+    if (outcome == ProbeOutcome::Alive)
         return;
-    if (!m_targets.isSilent(*target))
+    if (!m_targets.probesAgree(*target))
         m_probes.want(probe.target);
     if (target->probesFailed == 1 && m_probes.sweeps(target->entry.domain, now))
         sweep(target->entry.domain, now);
--- a/src/core/direct/direct_targets.cpp
+++ b/src/core/direct/direct_targets.cpp
@@ -18,8 +18,8 @@
 /// Bounds of how much slower or faster than usual a target may count.
 constexpr double MostSlowness = 8.0;
 constexpr double LeastSlowness = 0.8;
-/// Probes that must fail in a row before open flows are ended: a single one may be a lost packet.
-constexpr std::uint32_t SilentAfterProbes = 2;
+/// Probes that must fail in a row before they are believed: a single one may be a lost packet.
+constexpr std::uint32_t EnoughProbes = 2;
 
 [[nodiscard]] double secondsOf(Duration duration) noexcept
 {
@@ -159,7 +159,12 @@
 
 bool DirectTargets::isSilent(const DirectTarget &target) const noexcept
 {
-    return target.probesFailed >= SilentAfterProbes;
+    return target.probesSilent >= EnoughProbes;
+}
+
+bool DirectTargets::probesAgree(const DirectTarget &target) const noexcept
+{
+    return target.probesFailed >= EnoughProbes;
 }
 
 const ColdLimit *DirectTargets::coldLimit(const DirectTarget &target, TimePoint now) const noexcept
@@ -323,25 +328,29 @@
     target.triedAt.reset();
     target.doubted = false;
     target.probesFailed = 0;
+    target.probesSilent = 0;
     return suspect;
 }
 
-bool DirectTargets::probed(DirectTarget &target, bool alive, TimePoint now) noexcept
+bool DirectTargets::probed(DirectTarget &target, ProbeOutcome outcome, TimePoint now) noexcept
 {
     const bool suspect = isSuspect(target);
     target.doubted = false;
     target.probedAt = now;
-    if (!alive) {
+    if (outcome != ProbeOutcome::Alive) {
         ++target.probesFailed;
-    } else if (!isSilent(target)) {
-        target.probesFailed = 0; // A packet of the probe was lost.
-    } else {
-        // A machine answers there again, but it may be another target's by now: one flow finds out.
-        target.probesFailed = 0;
+        target.probesSilent = outcome == ProbeOutcome::Silent ? target.probesSilent + 1 : 0;
+        return suspect != isSuspect(target);
+    }
+    // A machine answers there again, but it may be another target's by now: one flow finds out.
+    // After a single failure, a packet of the probe was lost.
+    if (probesAgree(target)) {
         target.unanswered = std::max(target.unanswered, m_settings.suspectAfter);
         target.triedAt = now - m_settings.trialEvery;
         mayBeCold(target, now);
     }
+    target.probesFailed = 0;
+    target.probesSilent = 0;
     return suspect != isSuspect(target);
 }
 
--- a/src/core/direct/direct_targets.h
+++ b/src/core/direct/direct_targets.h
@@ -3,6 +3,7 @@
 #include "core/direct/cold_targets.h"
 #include "core/direct/label_table.h"
 #include "core/direct/mechanisms.h"
+#include "core/direct/target_probes.h"
 #include "core/directory/directory.h"
 #include "core/overload/overload_settings.h"
 #include "core/random.h"
@@ -86,6 +87,7 @@
     std::optional<TimePoint> triedAt; ///< Last flow that was offered while it was suspect.
     bool doubted = false;             ///< Left a flow without a sign, and is being tried.
     std::uint32_t probesFailed = 0;   ///< In a row, since the last sign that it lives.
+    std::uint32_t probesSilent = 0;   ///< Of these, the last ones that got no answer at all.
     TimePoint probedAt{};             ///< End of the last probe.
     double answerMicros = 0;          ///< Moving mean of the time to the answer; 0 for none yet.
     TimePoint answeredAt{};
@@ -156,9 +158,12 @@
 
     /// \brief A connection to the target was tried.
     /// \return Whether that changed what is believed of it.
-    bool probed(DirectTarget &target, bool alive, TimePoint now) noexcept;
-    /// \return Whether it is known to be gone for now, so that its open flows may be ended: a
-    /// caller that repeats itself is one ground, and probes that failed are the other.
+    bool probed(DirectTarget &target, ProbeOutcome outcome, TimePoint now) noexcept;
+    /// \return Whether probes say that no more of them is needed for now.
+    [[nodiscard]] bool probesAgree(const DirectTarget &target) const noexcept;
+    /// \return Whether it is dark for now, so that its open flows may be ended: a caller that
+    /// repeats itself is one ground, and probes that nobody answered are the other. One that
+    /// refuses connections may be full, and serve the flows that it has.
     [[nodiscard]] bool isSilent(const DirectTarget &target) const noexcept;
     /// \return Whether this ended a suspicion.
     bool heard(DirectTarget &target, TimePoint now) noexcept;
--- a/src/core/direct/target_probes.h
+++ b/src/core/direct/target_probes.h
@@ -14,9 +14,10 @@
 
 /// \brief What a try to connect to a target has shown.
 enum class ProbeOutcome {
-    Alive,  ///< Its machine took the connection.
-    Silent, ///< It refused, or did not answer in time.
-    Unsure, ///< This process was late itself.
+    Alive,   ///< Its machine took the connection.
+    Refused, ///< Its machine answered, and did not take it: the target is gone, or full.
+    Silent,  ///< No answer in time.
+    Unsure,  ///< This process was late itself.
 };
 
 /// \brief Decides when a target is tried by a connection, so that no caller has to wait to find
--- a/src/daemon/direct/direct_daemon.cpp
+++ b/src/daemon/direct/direct_daemon.cpp
@@ -225,6 +225,8 @@
         switch (end) {
         case Connected::Yes:
             return done(ProbeOutcome::Alive);
+        case Connected::Refused:
+            return done(ProbeOutcome::Refused);
         case Connected::No:
             return done(ProbeOutcome::Silent);
         case Connected::Unsure:
--- a/src/daemon/direct/direct_metrics.h
+++ b/src/daemon/direct/direct_metrics.h
@@ -24,7 +24,8 @@
 inline constexpr std::array<std::string_view, 3> FlowTimeNames{"open", "answer", "held"};
 
 /// Names of ProbeOutcome.
-inline constexpr std::array<std::string_view, 3> ProbeOutcomeNames{"alive", "silent", "unsure"};
+inline constexpr std::array<std::string_view, 4> ProbeOutcomeNames{"alive", "refused", "silent",
+                                                                   "unsure"};
 
 /// Names of QuestionOutcome.
 inline constexpr std::array<std::string_view, 7> QuestionOutcomeNames{
--- a/src/net/try_connection.cpp
+++ b/src/net/try_connection.cpp
@@ -39,10 +39,20 @@
         const tcp::endpoint endpoint{boost::asio::ip::address_v4{server.address}, server.port};
         socket.async_connect(endpoint,
                              [self = shared_from_this()](boost::system::error_code error) {
-                                 self->end(error ? Connected::No : Connected::Yes);
+                                 self->end(endOf(error));
                              });
     }
 
+    [[nodiscard]] static Connected endOf(const boost::system::error_code &error)
+    {
+        namespace errors = boost::asio::error;
+        if (!error)
+            return Connected::Yes;
+        const bool answered
+            = error == errors::connection_refused || error == errors::connection_reset;
+        return answered ? Connected::Refused : Connected::No;
+    }
+
     void end(Connected end)
     {
         const auto told = std::exchange(done, nullptr);
--- a/src/net/try_connection.h
+++ b/src/net/try_connection.h
@@ -12,8 +12,9 @@
 /// \brief How a try to connect has ended.
 enum class Connected {
     Yes,
-    No,     ///< Refused, unreachable, or no answer in time.
-    Unsure, ///< No answer, but this process looked much later than it meant to.
+    Refused, ///< The machine answered, and did not take it.
+    No,      ///< Unreachable, or no answer in time.
+    Unsure,  ///< No answer, but this process looked much later than it meant to.
 };
 
 /// \brief Tries to connect over TCP, and closes at once what is connected.
--- a/standins/direct/target.h
+++ b/standins/direct/target.h
@@ -3,6 +3,7 @@
 #include "direct/packet.h"
 #include "direct/udp_end.h"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <chrono>
@@ -50,6 +51,7 @@
         : m_context(context)
         , m_end(context, address,
                 [this](std::string_view bytes, const Endpoint &daemon) { receive(bytes, daemon); })
+        , m_connections(context, {boost::asio::ip::address_v4{address.address}, address.port})
         , m_address(address)
         , m_id(id)
         , m_service(std::move(service))
@@ -57,6 +59,7 @@
         , m_work(work)
         , m_log(log)
     {
+        acceptNext();
     }
 
     [[nodiscard]] const Endpoint &address() const noexcept { return m_address; }
@@ -139,6 +142,16 @@
             request(*packet, flow, daemon);
     }
 
+    /// \brief Takes connections, as real targets do for health checks, and closes them.
+    void acceptNext()
+    {
+        m_connections.async_accept(
+            [this](boost::system::error_code error, const boost::asio::ip::tcp::socket &) {
+                if (error != boost::asio::error::operation_aborted)
+                    acceptNext();
+            });
+    }
+
     void judgeOpening(Clock::time_point now)
     {
         m_log.lateOpens += m_closedAt && now > *m_closedAt;
@@ -200,6 +213,7 @@
 
     boost::asio::io_context &m_context;
     UdpEnd m_end;
+    boost::asio::ip::tcp::acceptor m_connections;
     Endpoint m_address;
     std::uint64_t m_id;
     std::string m_service;
--- a/tests/direct/probe_test.cpp
+++ b/tests/direct/probe_test.cpp
@@ -51,6 +51,17 @@
 
 } // namespace
 
+// Guards against new flows for a target whose machine answers and takes no connections.
+Test(probes, aTargetThatRefusesConnectionsGetsNoNewFlow)
+{
+    ProbedFleet fleet{2};
+    const TargetId full = fleet.openInVain(1);
+    cr_assert_eq(fleet.probe(ProbeOutcome::Refused), 2U);
+    cr_assert(fleet.belief(full) == TargetBelief::Suspect);
+    for (std::uint16_t caller = 10; caller < 40; ++caller)
+        cr_assert(fleet.open(caller).target != full);
+}
+
 // Guards against seconds in which callers find out one by one that a target is dark.
 Test(probes, oneOpeningInVainIsEnoughForADarkTarget)
 {
@@ -144,11 +155,12 @@
     cr_assert(fleet.causes.back() == SegmentCause::TargetGone);
 }
 
-// Guards against an open flow that is ended though its target lives: it is slow or overloaded, a
-// packet of the probe was lost, or this daemon itself stood still.
+// Guards against an open flow that is ended though its target lives: it is slow or overloaded, full
+// and takes no more connections, a packet of the probe was lost, or this daemon stood still.
 Test(probes, aFlowOfALivingTargetIsNeverEnded)
 {
-    for (const ProbeOutcome outcome : {ProbeOutcome::Alive, ProbeOutcome::Unsure}) {
+    for (const ProbeOutcome outcome :
+         {ProbeOutcome::Alive, ProbeOutcome::Refused, ProbeOutcome::Unsure}) {
         ProbedFleet fleet{1};
         const DeliverSegment placed = fleet.establish(1);
         (void)fleet.route(DirectFleet::data(1, placed.label, 0, 100, 1));
