--- a/src/core/direct/direct_targets.h
+++ b/src/core/direct/direct_targets.h
@@ -22,7 +22,7 @@
 /// \brief Why a target is thought of as it is.
 enum class TargetBelief {
     Trusted,
-    Suspect,   ///< Several flows got no answer from it, and none has since.
+    Suspect,   ///< Flows got no answer from it, or connections failed; no sign of life since.
     Draining,  ///< Leaves; takes no new flow.
     Evacuated, ///< The operator wants its failure domain empty; takes no new flow.
     Lapsed,    ///< Its registration went with an outage of the store; it may come back.
@@ -151,7 +151,7 @@
                                        Random &random);
 
     [[nodiscard]] TargetBelief belief(const DirectTarget &target) const noexcept;
-    /// \return Whether several flows got no answer from it; also where it leaves for another cause.
+    /// \return Whether it is suspect, also where it leaves for another cause besides.
     [[nodiscard]] bool isSuspect(const DirectTarget &target) const noexcept;
 
     // Evidence, from segments that pass.
@@ -159,7 +159,7 @@
     /// \brief A connection to the target was tried.
     /// \return Whether that changed what is believed of it.
     bool probed(DirectTarget &target, ProbeOutcome outcome, TimePoint now) noexcept;
-    /// \return Whether probes say that no more of them is needed for now.
+    /// \return Whether enough probes in a row have failed to be believed.
     [[nodiscard]] bool probesAgree(const DirectTarget &target) const noexcept;
     /// \return Whether it is dark for now, so that its open flows may be ended: a caller that
     /// repeats itself is one ground, and probes that nobody answered are the other. One that
