--- a/tests/explain/tables_test.cpp
+++ b/tests/explain/tables_test.cpp
@@ -78,14 +78,29 @@
 {
     const Asked asked;
     const Result result = asked.execute("show distribution");
-    cr_assert_eq(result.rows.size(), 2, "routes and targets");
+    cr_assert_eq(result.rows.size(), 3, "routes, targets and evacuations");
     cr_assert(cell(result, 0, "collection") == "routes");
+    cr_assert(cell(result, 2, "collection") == "evacuations");
     cr_assert(cell(result, 1, "objects") == "2");
     cr_assert(cell(result, 0, "from") == "10.1.0.1:9000", "%s", cell(result, 0, "from").c_str());
     cr_assert(cell(result, 0, "depth") == "1");
     cr_assert(cell(result, 0, "late") == "-");
 }
 
+// Guards against a domain that looks in use to the operator who wants it empty.
+Test(directTables, showsWhichDomainsAreEvacuated)
+{
+    Asked asked;
+    const Result before = asked.execute("show domains");
+    cr_assert_eq(before.rows.size(), 1);
+    cr_assert(cell(before, 0, "state") == "in-use" && cell(before, 0, "for-ms") == "-");
+    asked.system.cluster.store.put("evacuations/" + cell(before, 0, "domain"), "{}");
+    asked.system.cluster.time.run(1s);
+    const Result after = asked.execute("show domains");
+    cr_assert(cell(after, 0, "state") == "evacuated" && cell(after, 0, "trusted") == "0");
+    cr_assert(cell(after, 0, "targets") == cell(before, 0, "targets"));
+}
+
 // Operators who know the product's own commands try one here; the daemon must not seem to do it.
 Test(directTables, refusesCommandsAndSaysWhereTheyBelong)
 {
