Probe a large domain a part at a time, and what callers wait for first

Cause, suspected: at 300 machines a domain has 1,000 targets. One daemon tries sixteen at once, so that all of them take half a minute, again each 2 s; a target that a caller doubts waits behind them, and one that is back is not used before its turn.

Test: probes/aLargeDomainThatReturnsIsUsedAtOnce.

--- a/src/core/direct/direct_router_probes.cpp
+++ b/src/core/direct/direct_router_probes.cpp
@@ -3,6 +3,10 @@
 
 #include "core/direct/direct_router.h"
 
+#include <algorithm>
+#include <utility>
+#include <vector>
+
 namespace baobabtrail {
 
 namespace {
@@ -11,6 +15,11 @@
 constexpr Duration ProbeEvery = 2s;
 /// A target that was heard within this time needs no probe.
 constexpr Duration HeardLately = 500ms;
+/// Targets that are tried in one sweep: a domain may have a thousand, and what is waiting ahead
+/// keeps a small processor busy and a target that is back unused.
+constexpr std::size_t MostSwept = 32;
+/// Silent targets that are tried again in one second.
+constexpr std::size_t MostTriedAgain = 8;
 
 } // namespace
 
@@ -35,15 +44,18 @@
         return;
     if (outcome == ProbeOutcome::Unsure) {
         if (target->doubted)
-            m_probes.want(probe.target);
+            m_probes.wantFirst(probe.target);
         return;
     }
+    const bool isBack = outcome == ProbeOutcome::Alive && m_targets.probesAgree(*target);
     if (m_targets.probed(*target, outcome, now) && m_observer.believed)
         m_observer.believed({*target, m_targets.belief(*target)});
+    if (isBack)
+        m_targets.tryAgain(target->entry.domain, now);
     if (outcome == ProbeOutcome::Alive)
         return;
     if (!m_targets.probesAgree(*target))
-        m_probes.want(probe.target);
+        m_probes.wantFirst(probe.target);
     if (target->probesFailed == 1 && m_probes.sweeps(target->entry.domain, now))
         sweep(target->entry.domain, now);
 }
@@ -53,28 +65,36 @@
     if (!m_probing || target.goneAt || !m_settings.mechanisms.has(Mechanism::Probes))
         return;
     target.doubted = true;
-    m_probes.want(target.entry.id);
+    m_probes.wantFirst(target.entry.id);
 }
 
 // Where several targets of a domain have gone, the others may have too: their callers need not find
 // out one by one.
 void DirectRouter::sweep(const std::string &domain, TimePoint now)
 {
+    std::size_t swept = 0;
     for (const auto &[id, target] : m_targets.all()) {
         if (target.entry.domain != domain || target.goneAt || target.probesFailed > 0)
             continue;
         if (target.heardAt && now - *target.heardAt < HeardLately)
             continue;
         m_probes.want(id);
+        if (++swept == MostSwept)
+            return;
     }
 }
 
 void DirectRouter::probeSilent(TimePoint now)
 {
+    std::vector<std::pair<TimePoint, TargetId>> due;
     for (const auto &[id, target] : m_targets.all()) {
         if (target.probesFailed > 0 && !target.goneAt && now - target.probedAt >= ProbeEvery)
-            m_probes.want(id);
+            due.emplace_back(target.probedAt, id);
     }
+    const std::size_t count = std::min(due.size(), MostTriedAgain);
+    std::partial_sort(due.begin(), due.begin() + static_cast<std::ptrdiff_t>(count), due.end());
+    for (std::size_t index = 0; index < count; ++index)
+        m_probes.want(due[index].second);
 }
 
 } // namespace baobabtrail
--- a/src/core/direct/direct_targets.cpp
+++ b/src/core/direct/direct_targets.cpp
@@ -344,16 +344,30 @@
     }
     // A machine answers there again, but it may be another target's by now: one flow finds out.
     // After a single failure, a packet of the probe was lost.
-    if (probesAgree(target)) {
-        target.unanswered = std::max(target.unanswered, m_settings.suspectAfter);
-        target.triedAt = now - m_settings.trialEvery;
-        mayBeCold(target, now);
-    }
+    if (probesAgree(target))
+        tryByFlow(target, now);
     target.probesFailed = 0;
     target.probesSilent = 0;
     return suspect != isSuspect(target);
 }
 
+void DirectTargets::tryByFlow(DirectTarget &target, TimePoint now) noexcept
+{
+    target.probesFailed = 0;
+    target.probesSilent = 0;
+    target.unanswered = std::max(target.unanswered, m_settings.suspectAfter);
+    target.triedAt = now - m_settings.trialEvery;
+    mayBeCold(target, now);
+}
+
+void DirectTargets::tryAgain(const std::string &domain, TimePoint now) noexcept
+{
+    for (auto &[id, target] : m_targets) {
+        if (target.entry.domain == domain && probesAgree(target))
+            tryByFlow(target, now);
+    }
+}
+
 void DirectTargets::answered(DirectTarget &target, Duration took, TimePoint now) noexcept
 {
     const auto micros = static_cast<double>(took.count());
--- a/src/core/direct/direct_targets.h
+++ b/src/core/direct/direct_targets.h
@@ -159,6 +159,9 @@
     /// \brief A connection to the target was tried.
     /// \return Whether that changed what is believed of it.
     bool probed(DirectTarget &target, ProbeOutcome outcome, TimePoint now) noexcept;
+    /// \brief A silent target of the failure domain answers again: the others that are silent get
+    /// one flow each to find out.
+    void tryAgain(const std::string &domain, TimePoint now) noexcept;
     /// \return Whether enough probes in a row have failed to be believed.
     [[nodiscard]] bool probesAgree(const DirectTarget &target) const noexcept;
     /// \return Whether it is dark for now, so that its open flows may be ended: a caller that
@@ -183,6 +186,8 @@
                                              TimePoint now) const noexcept;
     /// \brief The target may have started anew, unseen.
     void mayBeCold(DirectTarget &target, TimePoint now) noexcept;
+    /// \brief One flow finds out whether the target is back.
+    void tryByFlow(DirectTarget &target, TimePoint now) noexcept;
     [[nodiscard]] bool admits(const DirectTarget &target, TimePoint now) const;
     [[nodiscard]] double cost(const DirectTarget &target, double usualMicros,
                               TimePoint now) const noexcept;
--- a/src/core/direct/target_probes.cpp
+++ b/src/core/direct/target_probes.cpp
@@ -14,6 +14,13 @@
 
 } // namespace
 
+void TargetProbes::wantFirst(TargetId target)
+{
+    if (!m_known.insert(target).second && std::erase(m_waiting, target) == 0)
+        return;
+    m_waiting.push_front(target);
+}
+
 void TargetProbes::want(TargetId target)
 {
     if (m_known.insert(target).second)
--- a/src/core/direct/target_probes.h
+++ b/src/core/direct/target_probes.h
@@ -28,6 +28,9 @@
 class TargetProbes
 {
 public:
+    /// \brief Asks for a probe of a target that callers wait for, ahead of all others; does nothing
+    /// where one is under way.
+    void wantFirst(TargetId target);
     /// \brief Asks for a probe; does nothing where one is waiting or under way.
     void want(TargetId target);
     /// \return Those that are to begin now, each of them once.
--- a/tests/direct/probe_test.cpp
+++ b/tests/direct/probe_test.cpp
@@ -186,6 +186,34 @@
     cr_assert(fleet.belief(placed.target) == TargetBelief::Trusted);
 }
 
+// Guards against a domain of a thousand targets whose probes take half a minute: what callers wait
+// for is tried first, and one target that is back brings the others back.
+Test(probes, aLargeDomainThatReturnsIsUsedAtOnce)
+{
+    constexpr std::uint64_t count = 1000;
+    ProbedFleet fleet{count};
+    for (std::uint16_t caller = 0; caller < 400; ++caller) {
+        (void)fleet.openInVain(caller);
+        for (const ProbeRequest &probe : fleet.router().takeProbes()) // 16 at once, and no more.
+            fleet.router().probed(probe, ProbeOutcome::Silent, fleet.now);
+        fleet.router().expire(fleet.now);
+    }
+    const TargetId last = fleet.openInVain(500);
+    bool first = false;
+    for (const ProbeRequest &probe : fleet.router().takeProbes()) {
+        first = first || probe.target == last;
+        fleet.router().probed(probe, ProbeOutcome::Silent, fleet.now);
+    }
+    cr_assert(first || fleet.belief(last) == TargetBelief::Suspect);
+    fleet.now += 3s;
+    fleet.router().expire(fleet.now);
+    (void)fleet.probe(ProbeOutcome::Alive);
+    std::size_t silent = 0;
+    for (const auto &[id, target] : fleet.router().targets().all())
+        silent += target.probesFailed > 0;
+    cr_assert_leq(silent, 1U, "%zu", silent);
+}
+
 // Guards against a target that is doubted since this daemon was late itself: both copies of an
 // opening waited here, and went on together.
 Test(probes, copiesThatCameTogetherSayNothing)
