A daemon that stops doesn't end while datagrams wait unread

Symptom (found by looking for late timers in the product, not seen at callers): a daemon that was asked to stop forwards until no datagram has come for `stopLinger`. Where its process stands still between the reactor's look at the sockets and its look at the timers, the quiet wait is over while datagrams are unread in the socket, and the process ends: callers lose those segments.

Cause: the wait asked only whether its counter had stood still, and the counter knows what was read, not what has come.

Ruled out: a stop of the whole process (SIGSTOP) during a handler or in the reactor's wait; the next turn hands over sockets before timers, and the counter has moved. So the window is small, and what it cost callers wasn't measured.

Change: quiet is a counter that has stood still and a socket with nothing unread.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -100,7 +100,8 @@
 void Daemon::trafficStopped()
 {
     logLine(Severity::Info, Part::Daemon, "no request is in progress; flows are still forwarded");
-    m_quiet.start(m_settings.stopLinger, m_metrics.counters().data.datagramsIn,
+    const auto unread = [this] { return m_dataSocket && m_dataSocket->hasUnread(); };
+    m_quiet.start(m_settings.stopLinger, {m_metrics.counters().data.datagramsIn, unread},
                   [this] { finish(ExitStatus::Done); });
 }
 
--- a/src/daemon/direct/direct_daemon.cpp
+++ b/src/daemon/direct/direct_daemon.cpp
@@ -412,7 +412,8 @@
         if (!error)
             finish(ExitStatus::Done);
     });
-    m_quiet.start(m_settings.stopLinger, m_metrics.packets.datagramsIn,
+    const auto unread = [this] { return m_packets && m_packets->hasUnread(); };
+    m_quiet.start(m_settings.stopLinger, {m_metrics.packets.datagramsIn, unread},
                   [this] { finish(ExitStatus::Done); });
 }
 
--- a/src/daemon/net/udp_socket.cpp
+++ b/src/daemon/net/udp_socket.cpp
@@ -97,6 +97,12 @@
     });
 }
 
+bool UdpSocket::hasUnread() const
+{
+    boost::system::error_code ignored; // A socket that can't be asked has failed, and is told of.
+    return m_socket.available(ignored) > 0;
+}
+
 void UdpSocket::waitForDatagrams()
 {
     m_socket.async_wait(boost::asio::socket_base::wait_read,
--- a/src/daemon/net/udp_socket.h
+++ b/src/daemon/net/udp_socket.h
@@ -36,6 +36,9 @@
     /// \brief Sends soon. A full kernel buffer drops the datagram, as the network might.
     void send(const Endpoint &to, std::string bytes);
 
+    /// \return Whether datagrams wait to be read.
+    [[nodiscard]] bool hasUnread() const;
+
 private:
     struct Outgoing
     {
--- a/src/daemon/quiet_wait.h
+++ b/src/daemon/quiet_wait.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "core/time.h"
+#include "net/restartable_timer.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -18,28 +18,34 @@
 class QuietWait
 {
 public:
+    /// \brief What shows that something comes.
+    struct Traffic
+    {
+        const std::uint64_t &counter; ///< Of what has come; must outlive the wait.
+        /// Whether something has come that isn't counted yet, as after the process stood still.
+        std::function<bool()> unread;
+    };
+
     explicit QuietWait(boost::asio::io_context &context)
         : m_timer(context)
     {
     }
 
-    /// \param counter Must outlive the wait. \param done Called once.
-    void start(Duration quiet, const std::uint64_t &counter, std::function<void()> done)
+    /// \param done Called once.
+    void start(Duration quiet, Traffic traffic, std::function<void()> done)
     {
-        m_timer.expires_after(quiet);
-        m_timer.async_wait([this, quiet, &counter, seen = counter,
-                            done = std::move(done)](boost::system::error_code error) mutable {
-            if (error)
-                return;
-            if (counter == seen)
+        const std::uint64_t seen = traffic.counter;
+        m_timer.start(quiet, [this, quiet, seen, traffic = std::move(traffic),
+                              done = std::move(done)]() mutable {
+            if (traffic.counter == seen && !traffic.unread())
                 done();
             else
-                start(quiet, counter, std::move(done));
+                start(quiet, std::move(traffic), std::move(done));
         });
     }
 
 private:
-    boost::asio::steady_timer m_timer;
+    RestartableTimer m_timer;
 };
 
 } // namespace baobabtrail::daemon
