Timers of the daemon that are set again or cancelled are restartable ones

- The watches of clocks and settings began anew after their supervisor had stopped them.
Nothing starts again beside them today, so no caller noticed.
- `Link` was kept from ending a connection that had just come about by a flag of its own, `CoreTimer` by looking at the clock again and a sign of life.
- `TryConnection` waits once only and takes the first end; a timer that is late counts as no answer known.
`asioRuntime` has a timer for each call; the directory's feeds tell an outdated call by the number of their run.
The HTTP client and server take Beast's streams, which count their operations and drop a timeout whose operation has ended.
These are left as they are.

Change: one timer for all that is set again or cancelled, without the flags that stood in for it.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -86,10 +86,7 @@
     }
     m_stopping = true;
     logLine(Severity::Info, Part::Daemon, "stops when nothing is in progress");
-    m_stopTimer.expires_after(m_settings.stopTimeout);
-    m_stopTimer.async_wait([this](boost::system::error_code error) {
-        if (error)
-            return;
+    m_stopTimer.start(m_settings.stopTimeout, [this] {
         logLine(Severity::Warning, Part::Daemon, "ends now, its time to stop is up");
         finish(ExitStatus::Done);
     });
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -17,11 +17,11 @@
 #include "daemon/records/records_server.h"
 #include "daemon/settings/settings.h"
 #include "daemon/supervisor/asio_runtime.h"
+#include "net/restartable_timer.h"
 #include "store/client.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <memory>
 #include <string>
@@ -93,7 +93,7 @@
     std::unique_ptr<boost::asio::signal_set> m_signals;
     DatagramSorter m_sorter;
 
-    boost::asio::steady_timer m_stopTimer;
+    RestartableTimer m_stopTimer;
     QuietWait m_quiet;
     bool m_stopping = false;
     ExitStatus m_status = ExitStatus::Done;
--- a/src/daemon/direct/direct_daemon.cpp
+++ b/src/daemon/direct/direct_daemon.cpp
@@ -315,10 +315,7 @@
 {
     const TimePoint steady = monotonicNow();
     const TimePoint boot = bootNow();
-    m_clockTimer.expires_after(ClockPeriod);
-    m_clockTimer.async_wait([this, steady, boot](boost::system::error_code error) {
-        if (error)
-            return;
+    m_clockTimer.start(ClockPeriod, [this, steady, boot] {
         const Duration late = monotonicNow() - steady - ClockPeriod;
         const Duration suspended = (bootNow() - boot) - (monotonicNow() - steady);
         const Duration gap = std::max(late, suspended);
@@ -351,10 +348,7 @@
 // address would lose both, one after the other.
 void DirectDaemon::watchSettings()
 {
-    m_settingsTimer.expires_after(SettingsPeriod);
-    m_settingsTimer.async_wait([this](boost::system::error_code error) {
-        if (error)
-            return;
+    m_settingsTimer.start(SettingsPeriod, [this] {
         if (const auto settings = m_file.changed())
             reload(*settings, "the file has changed");
         watchSettings();
@@ -407,11 +401,8 @@
     // Requests that waited here would end with the process, without a word to their callers.
     if (m_node)
         m_node->stopHolding();
-    m_stopTimer.expires_after(std::max(m_settings.killedAfter - KillMargin, Duration{0}));
-    m_stopTimer.async_wait([this](boost::system::error_code error) {
-        if (!error)
-            finish(ExitStatus::Done);
-    });
+    m_stopTimer.start(std::max(m_settings.killedAfter - KillMargin, Duration{0}),
+                      [this] { finish(ExitStatus::Done); });
     const auto unread = [this] { return m_packets && m_packets->hasUnread(); };
     m_quiet.start(m_settings.stopLinger, {m_metrics.packets.datagramsIn, unread},
                   [this] { finish(ExitStatus::Done); });
--- a/src/daemon/direct/direct_daemon.h
+++ b/src/daemon/direct/direct_daemon.h
@@ -10,11 +10,11 @@
 #include "daemon/quiet_wait.h"
 #include "daemon/settings/settings_file.h"
 #include "daemon/supervisor/asio_runtime.h"
+#include "net/restartable_timer.h"
 #include "store/client.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <memory>
 
@@ -85,9 +85,9 @@
     std::unique_ptr<HttpServer> m_peerServer;
     std::unique_ptr<boost::asio::signal_set> m_signals;
 
-    boost::asio::steady_timer m_clockTimer;
-    boost::asio::steady_timer m_settingsTimer;
-    boost::asio::steady_timer m_stopTimer;
+    RestartableTimer m_clockTimer;
+    RestartableTimer m_settingsTimer;
+    RestartableTimer m_stopTimer;
     QuietWait m_quiet;
     bool m_stopping = false;
     ExitStatus m_status = ExitStatus::Done;
--- a/src/daemon/net/link.cpp
+++ b/src/daemon/net/link.cpp
@@ -21,11 +21,8 @@
 
 void Link::connect(const Endpoint &target)
 {
-    m_connectTimer.expires_after(m_settings.connectTimeout);
-    m_connectTimer.async_wait([self = shared_from_this()](error_code error) {
-        if (!error && !self->m_connected)
-            self->fail("no connection in time");
-    });
+    m_connectTimer.start(m_settings.connectTimeout,
+                         [self = shared_from_this()] { self->fail("no connection in time"); });
     m_socket.async_connect(toAsio<tcp>(target), [self = shared_from_this()](error_code error) {
         self->connected(error);
     });
--- a/src/daemon/net/link.h
+++ b/src/daemon/net/link.h
@@ -2,11 +2,11 @@
 
 #include "core/messages/request.h"
 #include "daemon/settings/settings.h"
+#include "net/restartable_timer.h"
 #include "wire/codec.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <array>
 #include <functional>
@@ -49,7 +49,7 @@
     static constexpr std::size_t ReadBytes = 16 << 10;
 
     boost::asio::ip::tcp::socket m_socket;
-    boost::asio::steady_timer m_connectTimer;
+    RestartableTimer m_connectTimer;
     LinkSettings m_settings;
     LinkHandlers m_handlers;
     wire::LinkReader m_reader;
--- a/src/daemon/nodes/core_timer.cpp
+++ b/src/daemon/nodes/core_timer.cpp
@@ -20,11 +20,7 @@
     if (!next || (m_armed && *m_armed <= *next))
         return;
     m_armed = next;
-    m_timer.expires_after(std::max(*next - monotonicNow(), Duration::zero()));
-    m_timer.async_wait([this, alive = std::weak_ptr{m_alive}](boost::system::error_code error) {
-        if (!error && !alive.expired())
-            fired();
-    });
+    m_timer.start(std::max(*next - monotonicNow(), Duration::zero()), [this] { fired(); });
 }
 
 void CoreTimer::fired()
--- a/src/daemon/nodes/core_timer.h
+++ b/src/daemon/nodes/core_timer.h
@@ -1,12 +1,11 @@
 #pragma once
 
 #include "core/time.h"
+#include "net/restartable_timer.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
-#include <memory>
 #include <optional>
 
 namespace baobabtrail::daemon {
@@ -30,11 +29,10 @@
 private:
     void fired();
 
-    boost::asio::steady_timer m_timer;
+    RestartableTimer m_timer;
     std::function<std::optional<TimePoint>()> m_next;
     std::function<void()> m_expired;
     std::optional<TimePoint> m_armed;
-    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 } // namespace baobabtrail::daemon
