A lapse ends only once the store has answered for 2.5 s without the target

A daemon ends open flows of targets that live.

The 2.5 s of a lapse were counted by the daemon's clock from the moment at which it learnt of it, whatever became of the store meanwhile.

Ruled out: a follower that is told of the lapse late (its count begins later, not earlier); darkness (`probes_failed` is 0 in all lines).

Change: the copy of a collection knows when the store came back (its first answer after one that failed, or after the process stood still) and answers to other daemons tell that for 10 s, 20 to 30 bytes. A lapse ends where the store has confirmed the copy 2.5 s or more after both the lapse and the return. The lines `lapsed` and `gone` name the return.

What it costs: a target that is really gone counts as lapsed up to a watch (1.5 s) longer; probes end its flows before. Daemons that hear neither the store nor others keep lapsed targets until they do.

Test: `lapse/aMomentOfTheStoreEndsNoLapse` failed before (8 of 8 daemons, first case) and passes; `lapse/whatIsStillMissingIsGone` holds the other side. Suites directory, direct, wire, large-change pass (135 tests).

--- a/src/core/direct/direct_node.cpp
+++ b/src/core/direct/direct_node.cpp
@@ -108,7 +108,8 @@
     m_ports.feed.after(ExpirePeriod, [this, alive = std::weak_ptr{m_alive}] {
         if (alive.expired())
             return;
-        m_router.expire(m_ports.feed.now());
+        m_router.expire(m_ports.feed.now(),
+                        {m_targets.copy.confirmedAt(), m_targets.copy.returnedAt()});
         startProbes();
         m_relay.expire();
         endHeld();
@@ -210,8 +211,10 @@
 void DirectNode::stoodStill(Duration gap)
 {
     notice(StoodStill{gap});
-    for (Collection *collection : all())
+    for (Collection *collection : all()) {
         collection->copy.doubt();
+        collection->copy.interrupted(m_ports.feed.now()); // It may have been away meanwhile.
+    }
     startFeeds();
 }
 
@@ -266,6 +269,12 @@
     return std::max(*routes, *targets);
 }
 
+std::optional<Duration> DirectNode::sinceStoreReturn() const
+{
+    const auto returned = m_targets.copy.returnedAt();
+    return returned ? std::optional{m_ports.feed.now() - *returned} : std::nullopt;
+}
+
 bool DirectNode::fresh() const
 {
     const auto age = viewAge();
--- a/src/core/direct/direct_node.h
+++ b/src/core/direct/direct_node.h
@@ -163,6 +163,9 @@
     /// \return Age of the older one of routes and targets; nothing before both are there.
     [[nodiscard]] std::optional<Duration> viewAge() const;
     [[nodiscard]] bool fresh() const;
+    /// \return Since the store came back from being away, as targets know it; nothing where it was
+    /// never seen to be.
+    [[nodiscard]] std::optional<Duration> sinceStoreReturn() const;
     /// \brief How one collection stands.
     struct CollectionStatus
     {
--- a/src/core/direct/direct_router.cpp
+++ b/src/core/direct/direct_router.cpp
@@ -395,7 +395,7 @@
     endRequest(flow, *target);
 }
 
-void DirectRouter::expire(TimePoint now)
+void DirectRouter::expire(TimePoint now, const StoreWord &store)
 {
     const Duration idle
         = m_routes->idleTimeout > Duration{0} ? m_routes->idleTimeout : m_settings.idleTimeout;
@@ -416,7 +416,7 @@
         m_flows.erase(it++);
     }
     probeSilent(now);
-    m_targets.expire(now, [this](const DirectTarget &target) {
+    m_targets.expire(now, store, [this](const DirectTarget &target) {
         if (m_observer.believed)
             m_observer.believed({target, TargetBelief::Gone});
     });
--- a/src/core/direct/direct_router.h
+++ b/src/core/direct/direct_router.h
@@ -177,7 +177,7 @@
     void probed(const ProbeRequest &probe, ProbeOutcome outcome, TimePoint now);
 
     /// \brief Forgets idle flows and departed targets; to be called about once a second.
-    void expire(TimePoint now);
+    void expire(TimePoint now, const StoreWord &store);
 
     [[nodiscard]] std::size_t flows() const noexcept { return m_flows.size(); }
     [[nodiscard]] const DirectTargets &targets() const noexcept { return m_targets; }
--- a/src/core/direct/direct_targets.cpp
+++ b/src/core/direct/direct_targets.cpp
@@ -97,12 +97,23 @@
         target->goneAt = now;
 }
 
-void DirectTargets::expire(TimePoint now, const std::function<void(const DirectTarget &)> &ended)
+// Nobody can register while the store is away, also where it was back for a moment: taken for gone
+// then, a living target loses its open flows.
+bool DirectTargets::stayedAway(const DirectTarget &target, const StoreWord &store) const noexcept
+{
+    if (!target.lapsedAt || !store.confirmedAt)
+        return false;
+    const TimePoint since = std::max(*target.lapsedAt, store.returnedAt.value_or(*target.lapsedAt));
+    return *store.confirmedAt - since >= m_settings.lapsedFor;
+}
+
+void DirectTargets::expire(TimePoint now, const StoreWord &store,
+                           const std::function<void(const DirectTarget &)> &ended)
 {
     m_cold.expire(now);
     for (auto it = m_targets.begin(); it != m_targets.end();) {
         DirectTarget &target = it->second;
-        if (target.lapsedAt && now - *target.lapsedAt >= m_settings.lapsedFor) {
+        if (stayedAway(target, store)) {
             target.lapsedAt.reset();
             target.goneAt = now;
             ended(target);
--- a/src/core/direct/direct_targets.h
+++ b/src/core/direct/direct_targets.h
@@ -38,7 +38,8 @@
     std::uint32_t suspectAfter = 2;
     /// A suspect gets one new flow this often, to find out whether it is back.
     Duration trialEvery = 2s;
-    /// A lapsed registration counts for this long; targets that live are back within two seconds.
+    /// A lapsed registration counts until the store has answered for this long without it: targets
+    /// that live are back within two seconds of its return.
     Duration lapsedFor = 2500ms;
     /// Longest that a departed target's flows are still forwarded to it; flows are at most this
     /// old.
@@ -58,6 +59,13 @@
     Mechanisms mechanisms{}; ///< What an experiment leaves out.
 };
 
+/// \brief What the store last said of all targets, and whether it could be told of them.
+struct StoreWord
+{
+    std::optional<TimePoint> confirmedAt; ///< Nothing where it can't be vouched for.
+    std::optional<TimePoint> returnedAt;  ///< When the store came back from being away, last.
+};
+
 /// \brief What is known of a target whose flows pass through this daemon.
 struct DirectTarget
 {
@@ -129,7 +137,8 @@
     [[nodiscard]] std::uint64_t openFlowsIn(const std::string &domain) const;
     /// \brief Forgets targets that are gone for longer than a flow lives, and ends lapses.
     /// \param ended Called for each target whose lapse has ended.
-    void expire(TimePoint now, const std::function<void(const DirectTarget &)> &ended);
+    void expire(TimePoint now, const StoreWord &store,
+                const std::function<void(const DirectTarget &)> &ended);
 
     [[nodiscard]] DirectTarget *find(TargetId target) noexcept;
     [[nodiscard]] const DirectTarget *find(TargetId target) const noexcept;
@@ -184,6 +193,9 @@
     /// \return The bound that holds for the target now; null for none.
     [[nodiscard]] const ColdLimit *coldLimit(const DirectTarget &target,
                                              TimePoint now) const noexcept;
+    /// \return Whether the target could have registered again, and has not.
+    [[nodiscard]] bool stayedAway(const DirectTarget &target,
+                                  const StoreWord &store) const noexcept;
     /// \brief The target may have started anew, unseen.
     void mayBeCold(DirectTarget &target, TimePoint now) noexcept;
     /// \brief One flow finds out whether the target is back.
--- a/src/core/directory/collection_copy.cpp
+++ b/src/core/directory/collection_copy.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace baobabtrail {
 
@@ -161,4 +162,18 @@
     m_confirmedAt = std::max(m_confirmedAt.value_or(when), when);
 }
 
+void CollectionCopy::reached(TimePoint when) noexcept
+{
+    if (std::exchange(m_interruptedAt, std::nullopt))
+        m_returnedAt = when;
+}
+
+void CollectionCopy::heardOfReturn(std::optional<TimePoint> returned, TimePoint asOf) noexcept
+{
+    if (m_interruptedAt && *m_interruptedAt < asOf)
+        m_interruptedAt.reset();
+    if (returned)
+        m_returnedAt = std::max(m_returnedAt.value_or(*returned), *returned);
+}
+
 } // namespace baobabtrail
--- a/src/core/directory/collection_copy.h
+++ b/src/core/directory/collection_copy.h
@@ -64,6 +64,17 @@
     /// \brief The copy may be out of date, until it is confirmed again.
     void doubt() noexcept { m_confirmedAt.reset(); }
 
+    /// \brief The store gave no answer: it may be away.
+    void interrupted(TimePoint when) noexcept { m_interruptedAt = when; }
+    /// \brief The store has answered.
+    void reached(TimePoint when) noexcept;
+    /// \brief Another daemon says when the store came back. \param returned Nothing where that was
+    /// long ago, or never. \param asOf When the store last answered there.
+    void heardOfReturn(std::optional<TimePoint> returned, TimePoint asOf) noexcept;
+    /// \return When the store came back the last time, as far as is known; nothing where it was
+    /// never seen to be away.
+    [[nodiscard]] std::optional<TimePoint> returnedAt() const noexcept { return m_returnedAt; }
+
     /// \return Whether a complete state has been taken.
     [[nodiscard]] bool complete() const noexcept { return !m_version.isNull(); }
     [[nodiscard]] ObjectVersion version() const noexcept { return m_version; }
@@ -106,6 +117,8 @@
     std::deque<StoredObject> m_old; ///< Large values that were replaced, the newest last.
     std::size_t m_oldBytes = 0;     ///< Of these.
     std::optional<TimePoint> m_confirmedAt;
+    std::optional<TimePoint> m_returnedAt;
+    std::optional<TimePoint> m_interruptedAt; ///< The store has not been reached since then.
 };
 
 } // namespace baobabtrail
--- a/src/core/directory/peer_copies.cpp
+++ b/src/core/directory/peer_copies.cpp
@@ -79,12 +79,23 @@
     return true;
 }
 
+void PeerCopies::hearOfReturn(const PeerAnswer &answer, TimePoint now) const
+{
+    for (std::size_t index = 0; index < m_collections.size(); ++index) {
+        std::optional<TimePoint> returned;
+        if (const auto since = answer.collections[index].sinceReturn)
+            returned = now - *since;
+        m_collections[index].copy->heardOfReturn(returned, now - answer.age);
+    }
+}
+
 AnswerTaken PeerCopies::take(const PeerAnswer &answer, Duration staleAfter, TimePoint now)
 {
     const auto confirmed = confirmedAt();
     const bool ownIsFresh = confirmed && now - *confirmed <= staleAfter;
     AnswerTaken taken;
     bool behind = false;
+    hearOfReturn(answer, now);
     for (std::size_t index = 0; index < m_collections.size(); ++index) {
         const SharedCollection &collection = m_collections[index];
         const CollectionDelta &delta = answer.collections[index].delta;
--- a/src/core/directory/peer_copies.h
+++ b/src/core/directory/peer_copies.h
@@ -50,6 +50,9 @@
     [[nodiscard]] AnswerTaken take(const PeerAnswer &answer, Duration staleAfter, TimePoint now);
 
 private:
+    /// \brief Takes what the answer says of the store's having been away.
+    void hearOfReturn(const PeerAnswer &answer, TimePoint now) const;
+
     std::vector<SharedCollection> m_collections;
 };
 
--- a/src/core/directory/peer_view.h
+++ b/src/core/directory/peer_view.h
@@ -79,6 +79,9 @@
 {
     CollectionDelta delta;
     std::vector<ValuePatch> patches; ///< Objects that are part of the delta besides.
+    /// Since the store came back from being away, where that was lately: what lapsed meanwhile may
+    /// register again.
+    std::optional<Duration> sinceReturn;
 };
 
 /// \brief A daemon that has its copies from the answering one.
--- a/src/core/directory/store_feed.cpp
+++ b/src/core/directory/store_feed.cpp
@@ -228,7 +228,7 @@
 
 void StoreFeed::failed(const PlatformResult &result, Backoff &backoff, void (StoreFeed::*again)())
 {
-    m_away = true;
+    m_copy.interrupted(m_ports.now());
     const auto *failure = std::get_if<PlatformFailure>(&result);
     const bool listing = std::exchange(m_pageCame, false);
     m_contact(
@@ -240,13 +240,13 @@
 void StoreFeed::succeeded()
 {
     m_backoff.reset();
-    if (std::exchange(m_away, false))
-        m_backSince = m_ports.now();
+    m_copy.reached(m_ports.now());
 }
 
 bool StoreFeed::justBack() const
 {
-    return m_backSince && m_ports.now() - *m_backSince < m_settings.returnGrace;
+    const auto returned = m_copy.returnedAt();
+    return returned && m_ports.now() - *returned < m_settings.returnGrace;
 }
 
 } // namespace baobabtrail
--- a/src/core/directory/store_feed.h
+++ b/src/core/directory/store_feed.h
@@ -108,15 +108,13 @@
     Backoff m_backoff;
     Backoff m_pageBackoff; ///< Between tries of one page, where those before it came.
 
-    std::vector<StoredObject> m_pages;    ///< Of the list that is under way.
-    ObjectVersion m_pagesVersion;         ///< Of its oldest page.
-    bool m_pagesMayBeOld = false;         ///< One of them.
-    bool m_dear = false;                  ///< No page of this list may be old.
-    bool m_seldom = false;                ///< This daemon has its copy from others as a rule.
-    bool m_confirms = false;              ///< The next watch only confirms the copy.
-    std::optional<TimePoint> m_backSince; ///< First success after the last failure.
-    bool m_pageCame = false;              ///< Since the last failure.
-    bool m_away = false;
+    std::vector<StoredObject> m_pages; ///< Of the list that is under way.
+    ObjectVersion m_pagesVersion;      ///< Of its oldest page.
+    bool m_pagesMayBeOld = false;      ///< One of them.
+    bool m_dear = false;               ///< No page of this list may be old.
+    bool m_seldom = false;             ///< This daemon has its copy from others as a rule.
+    bool m_confirms = false;           ///< The next watch only confirms the copy.
+    bool m_pageCame = false;           ///< Since the last failure.
     bool m_running = false;
     std::shared_ptr<std::uint64_t> m_run = std::make_shared<std::uint64_t>(0);
 };
--- a/src/core/directory/view_relay.cpp
+++ b/src/core/directory/view_relay.cpp
@@ -14,6 +14,9 @@
 constexpr std::size_t MostNamed = 3;
 /// Without anybody to be sent on for so long, a daemon no longer turns others away.
 constexpr Duration TurnsNobody = 5s;
+/// A return of the store is told for so long: what lapsed is back, or gone, within three seconds,
+/// and news may be two seconds old.
+constexpr Duration ReturnIsNews = 10s;
 
 } // namespace
 
@@ -45,6 +48,14 @@
     return oldest;
 }
 
+std::optional<Duration> ViewRelay::sinceReturn(const CollectionCopy &copy) const
+{
+    const auto returned = copy.returnedAt();
+    if (!returned || m_ports.now() - *returned > ReturnIsNews)
+        return std::nullopt;
+    return m_ports.now() - *returned;
+}
+
 void ViewRelay::ask(const PeerQuestion &question, Reply reply)
 {
     const bool known = std::all_of(
@@ -250,6 +261,7 @@
         const CollectionCopy &copy = *m_copies.at(each.prefix);
         CollectionAnswer &out = answer.collections.emplace_back();
         out.delta = copy.since(each.after);
+        out.sinceReturn = sinceReturn(copy);
         if (question.patches)
             m_patches.apply(copy, each.after, out);
     }
--- a/src/core/directory/view_relay.h
+++ b/src/core/directory/view_relay.h
@@ -88,6 +88,8 @@
     /// \return Since the older of the copies was confirmed; nothing where one can't be vouched for:
     /// since the process stood still it may be older than what the asking daemon could read itself.
     [[nodiscard]] std::optional<Duration> ageOf(const PeerQuestion &question) const;
+    /// \return Since the store came back, where other daemons have to know that.
+    [[nodiscard]] std::optional<Duration> sinceReturn(const CollectionCopy &copy) const;
     [[nodiscard]] bool hasNews(const PeerQuestion &question) const;
     /// \brief Answers one that asks while there is nothing here.
     void askBlank(const PeerQuestion &question, Reply reply);
--- a/src/daemon/direct/direct_log.cpp
+++ b/src/daemon/direct/direct_log.cpp
@@ -294,6 +294,10 @@
         if (change.startedAgain)
             event.field("started_again", true);
         addView(event, node);
+        const bool missing
+            = change.belief == TargetBelief::Lapsed || change.belief == TargetBelief::Gone;
+        if (const auto since = node.sinceStoreReturn(); since && missing)
+            event.field("store_back_ms_ago", *since);
         return event;
     });
 }
--- a/src/wire/view_form.cpp
+++ b/src/wire/view_form.cpp
@@ -126,6 +126,8 @@
         out["complete"] = true;
     if (change.afterOutage)
         out["after_outage"] = true;
+    if (answer.sinceReturn)
+        out["since_return_us"] = micros(*answer.sinceReturn);
     if (!change.removed.empty())
         out["removed"] = json::value_from(change.removed);
     for (const ValuePatch &patch : answer.patches)
@@ -145,6 +147,8 @@
     change.version = ObjectVersion{in.at("version").to_number<std::uint64_t>()};
     answer.delta.complete = flagOf(in, "complete", false);
     change.afterOutage = flagOf(in, "after_outage", false);
+    if (const json::value *since = in.if_contains("since_return_us"))
+        answer.sinceReturn = Duration{since->to_number<std::uint32_t>()};
     if (const json::value *removed = in.if_contains("removed"))
         change.removed = json::value_to<std::vector<std::string>>(*removed);
     if (const json::value *patches = in.if_contains("patches"))
--- a/tests/direct/probe_test.cpp
+++ b/tests/direct/probe_test.cpp
@@ -83,12 +83,12 @@
     (void)fleet.probe(ProbeOutcome::Silent);
     for (std::uint16_t second = 0; second < 10; ++second) {
         fleet.now += 1s;
-        fleet.router().expire(fleet.now);
+        fleet.expire();
         cr_assert_leq(fleet.probe(ProbeOutcome::Silent), 1U);
         cr_assert(fleet.open(10 + second).target != dark);
     }
     fleet.now += 2s;
-    fleet.router().expire(fleet.now);
+    fleet.expire();
     cr_assert_eq(fleet.probe(ProbeOutcome::Alive), 1U);
     std::vector<DeliverSegment> tried;
     for (std::uint16_t caller = 100; caller < 140; ++caller) {
@@ -108,7 +108,7 @@
     const TargetId dark = fleet.openInVain(1);
     (void)fleet.probe(ProbeOutcome::Silent);
     fleet.now += 3s;
-    fleet.router().expire(fleet.now);
+    fleet.expire();
     (void)fleet.probe(ProbeOutcome::Alive);
     std::uint16_t caller = 9;
     DeliverSegment placed;
@@ -196,7 +196,7 @@
         (void)fleet.openInVain(caller);
         for (const ProbeRequest &probe : fleet.router().takeProbes()) // 16 at once, and no more.
             fleet.router().probed(probe, ProbeOutcome::Silent, fleet.now);
-        fleet.router().expire(fleet.now);
+        fleet.expire();
     }
     const TargetId last = fleet.openInVain(500);
     bool first = false;
@@ -206,7 +206,7 @@
     }
     cr_assert(first || fleet.belief(last) == TargetBelief::Suspect);
     fleet.now += 3s;
-    fleet.router().expire(fleet.now);
+    fleet.expire();
     (void)fleet.probe(ProbeOutcome::Alive);
     std::size_t silent = 0;
     for (const auto &[id, target] : fleet.router().targets().all())
--- a/tests/direct/router_faults_test.cpp
+++ b/tests/direct/router_faults_test.cpp
@@ -132,7 +132,7 @@
         cr_assert(fleet.open(caller).target == TargetId{2});
     fleet.router().removeTarget(TargetId{2}, false, fleet.now);
     fleet.now += 3s;
-    fleet.router().expire(fleet.now);
+    fleet.expire();
     cr_assert(isAbort(fleet.route(DirectFleet::opening(30))));
 }
 
@@ -185,7 +185,7 @@
     cr_assert(targetOf(fleet.route(DirectFleet::data(1, placed.label, 0, 100, 1))) == TargetId{1});
     cr_assert(target.openFlows == 0 && target.inFlight == 0);
     fleet.now += 20s;
-    fleet.router().expire(fleet.now);
+    fleet.expire();
     cr_assert(target.openFlows == 0 && target.inFlight == 0 && target.opening == 0);
 }
 
--- a/tests/direct/router_test.cpp
+++ b/tests/direct/router_test.cpp
@@ -220,7 +220,7 @@
         cr_assert(!fleet.establish(caller).target.isNull());
     cr_assert_eq(fleet.router().flows(), 100);
     fleet.now += settings.idleTimeout;
-    fleet.router().expire(fleet.now);
+    fleet.expire();
     cr_assert_eq(fleet.router().flows(), 0);
     for (const auto &[id, target] : fleet.router().targets().all())
         cr_assert(target.openFlows == 0 && target.inFlight == 0 && target.opening == 0);
@@ -262,7 +262,7 @@
         const DeliverSegment placed = fleet.establish(1);
         (void)fleet.route(DirectFleet::data(1, placed.label, 0, 100, 1));
         const auto inFlight = [&] {
-            fleet.router().expire(fleet.now);
+            fleet.expire();
             return fleet.router().targets().find(TargetId{1})->inFlight;
         };
         fleet.now += timeout - 1ms;
--- /dev/null
+++ b/tests/directory/lapse_test.cpp
@@ -0,0 +1,95 @@
+// Registrations that went with an outage of the store: living targets are back within two seconds
+// of its return.
+
+#include "support/cluster_checks.h"
+
+#include <criterion/criterion.h>
+
+#include <set>
+
+using namespace baobabtrail;
+using namespace baobabtrail::test;
+
+namespace {
+
+constexpr std::uint64_t Lapsing = 1;
+constexpr std::uint64_t Other = 2;
+
+/// \brief Daemons that serve two targets, and note who took the lapsing one for gone.
+struct LapseCluster
+{
+    explicit LapseCluster(std::uint64_t seed)
+        : cluster(8, 3, seed, [this](std::size_t index, DirectPorts &ports) {
+            ports.observer.believed = [this, index](const BeliefChange &change) {
+                if (change.target.entry.id == TargetId{Lapsing}
+                    && change.belief == TargetBelief::Gone)
+                    tookForGone.insert(index);
+            };
+        })
+    {
+        addTarget(cluster, Lapsing);
+        addTarget(cluster, Other);
+        cluster.time.run(10s);
+    }
+
+    void lapse()
+    {
+        cluster.store.goDown();
+        cluster.time.run(4s);
+        cluster.store.erase(DirectCluster::targetKey(Lapsing));
+    }
+
+    [[nodiscard]] std::size_t believing(TargetBelief belief)
+    {
+        std::size_t daemons = 0;
+        for (std::size_t index = 0; index < cluster.size(); ++index) {
+            const DirectTargets &targets = cluster.node(index)->router().targets();
+            const DirectTarget *target = targets.find(TargetId{Lapsing});
+            daemons += target && targets.belief(*target) == belief;
+        }
+        return daemons;
+    }
+
+    std::set<std::size_t> tookForGone; ///< Daemons.
+    DirectCluster cluster;
+};
+
+} // namespace
+
+// Guards against open flows that are ended since a living target is taken for gone: the store was
+// back for a moment only, and nobody could register.
+Test(lapse, aMomentOfTheStoreEndsNoLapse)
+{
+    for (const Duration away : {700ms, 1500ms, 3000ms, 6000ms}) {
+        for (Duration phase = 0ms; phase < 1600ms; phase += 200ms) {
+            LapseCluster all{5};
+            DirectCluster &cluster = all.cluster;
+            cluster.time.run(phase);
+            all.lapse();
+            cluster.store.down = false;
+            cluster.time.run(1200ms);
+            cluster.store.goDown();
+            cluster.time.run(away);
+            cluster.store.down = false;
+            cluster.time.run(2s);
+            addTarget(cluster, Lapsing);
+            cluster.time.run(3s);
+            cr_assert(all.tookForGone.empty(), "%zu daemons, %ld ms away, phase %ld",
+                      all.tookForGone.size(), away.count() / 1000, phase.count() / 1000);
+            cr_assert_eq(placing(cluster, Lapsing), cluster.size());
+        }
+    }
+}
+
+// Guards against targets that count as lapsed for ever.
+Test(lapse, whatIsStillMissingIsGone)
+{
+    for (Duration phase = 0ms; phase < 1600ms; phase += 200ms) {
+        LapseCluster all{7};
+        all.cluster.time.run(phase);
+        all.lapse();
+        all.cluster.store.down = false;
+        all.cluster.time.run(6s);
+        cr_assert_eq(all.believing(TargetBelief::Gone), all.cluster.size());
+    }
+}
--- a/tests/support/direct_fleet.h
+++ b/tests/support/direct_fleet.h
@@ -78,6 +78,8 @@
     }
 
     SegmentVerdict route(const Segment &segment) { return m_router.route(segment, now); }
+    /// \brief Lets time act on the router, which the store confirms just now.
+    void expire() { m_router.expire(now, {now, std::nullopt}); }
 
     /// \brief Opens a flow. \return Where it went; a null target where it was not delivered.
     DeliverSegment open(std::uint16_t caller, std::uint8_t copy = 0)
--- a/tests/support/fake_directory_store.h
+++ b/tests/support/fake_directory_store.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace baobabtrail::test {
@@ -84,6 +85,16 @@
         m_watches.clear();
     }
 
+    /// \brief Goes down: watches that wait are cut off too.
+    void goDown()
+    {
+        down = true;
+        for (const Watch &watch : std::exchange(m_watches, {})) {
+            m_ended.insert(watch.id);
+            m_time.after(Latency, [watch] { watch.done(PlatformFailure{"cut off"}); });
+        }
+    }
+
     void call(int caller, const PlatformRequest &request, Done done)
     {
         ++m_calls;
--- a/tests/wire/view_form_test.cpp
+++ b/tests/wire/view_form_test.cpp
@@ -23,6 +23,7 @@
     targets.delta.change.written = {{"targets/1", "ready", ObjectVersion{8}}};
     targets.delta.change.removed = {"targets/2"};
     targets.delta.change.afterOutage = true;
+    targets.sinceReturn = 1200ms;
     answer.collections = {routes, targets};
     return answer;
 }
@@ -67,6 +68,8 @@
     cr_assert_eq(targets.written.size(), 1);
     cr_assert(targets.removed == std::vector<std::string>{"targets/2"});
     cr_assert(targets.afterOutage);
+    cr_assert(!read->collections.at(0).sinceReturn.has_value());
+    cr_assert(read->collections.at(1).sinceReturn == 1200ms);
 }
 
 // Daemons are replaced one after the other: some still speak without the way to the store. Their
