A whole copy from another daemon says that the store was away

Daemon 1 lists it at 6.225 s and says `lapsed` of the missing targets; daemons 0, 2, 3, 4 and 5, which have their copies from there, say `gone` of the same targets 5 to 15 ms later, and daemon 5 ends four open flows when the callers send again. What changed step by step is told with the mark that the store was away; after a list there are no steps, the whole copy is told, and that went without the mark.

Ruled out: followers that list themselves (their store is still lost in the log); the count of the lapse (daemon 1, which had the mark, waited).

Change: a whole copy has the mark where the list that it is from, or a step since, had it, and also where the daemon has just started and can't know.

--- a/src/core/directory/collection_copy.cpp
+++ b/src/core/directory/collection_copy.cpp
@@ -53,6 +53,8 @@
     // may hold a target that has long left, and only everything tells it so.
     m_steps.clear();
     m_remembersFrom = version;
+    // Nor is it known after a start whether the store was away before.
+    m_wholeAfterOutage = afterOutage || first;
     return first || changed ? std::optional{change} : std::nullopt;
 }
 
@@ -109,6 +111,10 @@
     delta.change.version = m_version;
     if (version < m_remembersFrom) {
         delta.complete = true;
+        delta.change.afterOutage
+            = m_wholeAfterOutage
+              || std::any_of(m_steps.begin(), m_steps.end(),
+                             [](const Step &step) { return step.afterOutage; });
         for (const auto &[key, object] : m_objects)
             delta.change.written.push_back(object);
         return delta;
--- a/src/core/directory/collection_copy.h
+++ b/src/core/directory/collection_copy.h
@@ -111,8 +111,9 @@
     std::map<std::string, StoredObject> m_objects;
     std::uint64_t m_bytes = 0; ///< Of their values.
     ObjectVersion m_version;
-    ObjectVersion m_changedAt;     ///< Of the newest change.
-    ObjectVersion m_remembersFrom; ///< Changes behind this version are in \a m_steps.
+    ObjectVersion m_changedAt;       ///< Of the newest change.
+    ObjectVersion m_remembersFrom;   ///< Changes behind this version are in \a m_steps.
+    bool m_wholeAfterOutage = false; ///< What is missing since before that may only have lapsed.
     std::deque<Step> m_steps;
     std::deque<StoredObject> m_old; ///< Large values that were replaced, the newest last.
     std::size_t m_oldBytes = 0;     ///< Of these.
--- a/tests/directory/lapse_test.cpp
+++ b/tests/directory/lapse_test.cpp
@@ -81,6 +81,22 @@
     }
 }
 
+// Guards against the same at daemons that hear of the lapse by a whole copy: the store has dropped
+// its history.
+Test(lapse, aWholeCopySaysThatTheStoreWasAway)
+{
+    LapseCluster all{6};
+    all.lapse();
+    all.cluster.store.compact();
+    all.cluster.store.down = false;
+    all.cluster.time.run(2s);
+    cr_assert_eq(all.believing(TargetBelief::Lapsed), all.cluster.size());
+    addTarget(all.cluster, Lapsing);
+    all.cluster.time.run(3s);
+    cr_assert(all.tookForGone.empty());
+    cr_assert_eq(placing(all.cluster, Lapsing), all.cluster.size());
+}
+
 // Guards against targets that count as lapsed for ever.
 Test(lapse, whatIsStillMissingIsGone)
 {
