Soak: tell a silent daemon from an old configuration, and name broken flows

The soak asks for a page of metrics and waits 0.4 s; an answer that didn't come counted as an old version.

Change: a daemon that gives no page in time, one that tells of no version and one that has an older one are three findings. The last one says which version, the newest, the store's and the daemon's own line; the page is kept.

Also for what can't be told apart from counts: "open flows broken" names each flow, the daemon and its last line about the flow, and a feed that gets no answer after the last fault is a finding (it was lost without a word). No check is weaker than before.

--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -12,6 +12,7 @@
 
 #include <boost/random/uniform_int_distribution.hpp>
 
+#include <cmath>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
@@ -24,6 +25,7 @@
 DEFINE_uint32(daemons, 6, "daemons");
 DEFINE_uint32(targets, 10, "targets at the start");
 DEFINE_uint32(callers, 16, "callers, each with a feed");
+DEFINE_uint32(large_changes, 8, "one in so many steps is a large change of the configuration");
 DEFINE_bool(verbose, false, "print each fault, and what the daemons print");
 DEFINE_string(keep, BAOBABTRAIL_BINARY_DIR "/soak",
               "directory for the logs of seeds that find something");
@@ -34,6 +36,11 @@
 using namespace baobabtrail::standins;
 using namespace std::chrono_literals;
 
+[[nodiscard]] std::int64_t unixMillis(std::chrono::system_clock::time_point time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
+}
+
 /// \brief What one seed leaves behind: the daemons' logs, the faults with their times, and what
 /// each target ran. Goes with its owner unless it is kept.
 class SoakLogs
@@ -62,6 +69,25 @@
         m_faults << unixMillis(std::chrono::system_clock::now()) << ' ' << what << std::endl;
     }
 
+    /// \brief Writes a file beside the logs.
+    void add(const std::string &file, const std::string &text) const
+    {
+        std::ofstream{m_directory / file} << text;
+    }
+
+    /// \return The last line of a daemon's log that has both words; empty for none.
+    [[nodiscard]] std::string lastLine(std::size_t daemon, const std::string &word,
+                                       const std::string &other) const
+    {
+        std::ifstream log{m_directory / ("daemon" + std::to_string(daemon) + ".log")};
+        std::string found;
+        for (std::string line; std::getline(log, line);) {
+            if (line.find(word) != std::string::npos && line.find(other) != std::string::npos)
+                found = line;
+        }
+        return found;
+    }
+
     /// \return The directory.
     std::string keep(const TargetLog &targets)
     {
@@ -75,12 +101,6 @@
     }
 
 private:
-    [[nodiscard]] static std::int64_t unixMillis(std::chrono::system_clock::time_point time)
-    {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch())
-            .count();
-    }
-
     std::filesystem::path m_directory;
     std::ofstream m_faults;
     bool m_kept = false;
@@ -209,7 +229,7 @@
         using Draw = boost::random::uniform_int_distribution<int>;
         constexpr int firstQuietRoute = 100;
         constexpr std::uint64_t thinLink = 1'250'000;
-        const bool due = Draw{0, 7}(m_largeRandom) == 0;
+        const bool due = Draw{1, static_cast<int>(FLAGS_large_changes)}(m_largeRandom) == 1;
         const int count = Draw{100, 3000}(m_largeRandom);
         const auto thin
             = static_cast<std::size_t>(Draw{0, static_cast<int>(FLAGS_daemons) - 1}(m_largeRandom));
@@ -428,20 +448,48 @@
             m_findings.emplace_back("not all daemons were ready within 12 s of the last fault");
         m_world.run(4s);
         for (std::size_t index = 0; index < FLAGS_daemons; ++index)
-            expect(hasNewestConfiguration(index),
-                   "daemon " + std::to_string(index) + " acts by an old configuration");
+            judgeConfiguration(index);
     }
 
-    [[nodiscard]] bool hasNewestConfiguration(std::size_t index)
+    void judgeConfiguration(std::size_t index)
     {
-        const std::string newest = "\nbaobabtrail_config_version "
-                                   + std::to_string(m_world.newestConfiguration()) + '\n';
-        return m_world.metricsOf(index).find(newest) != std::string::npos;
+        const std::string daemon = "daemon " + std::to_string(index);
+        const auto askedAt = World::Clock::now();
+        std::string page = m_world.metricsOf(index);
+        if (page.empty()) {
+            const std::chrono::duration<double, std::milli> waited = World::Clock::now() - askedAt;
+            m_findings.push_back(daemon + " gave no page of metrics in time (asked "
+                                 + std::to_string(std::lround(waited.count())) + " ms ago)");
+            page = m_world.metricsOf(index);
+        }
+        m_logs.add("metrics" + std::to_string(index) + ".txt", page);
+        const auto inForce = configurationOn(page);
+        if (!inForce)
+            m_findings.push_back(daemon + " tells of no configuration");
+        else if (*inForce != m_world.newestConfiguration())
+            m_findings.push_back(
+                daemon + " acts by an old configuration: " + std::to_string(*inForce)
+                + ", the newest is " + std::to_string(m_world.newestConfiguration())
+                + ", the store has " + std::to_string(m_world.storedConfiguration())
+                + "; its log: " + m_logs.lastLine(index, "routes_in_force", "config"));
+    }
+
+    /// \return Version of the configuration in force, as a page of metrics says.
+    [[nodiscard]] static std::optional<std::uint64_t> configurationOn(const std::string &page)
+    {
+        constexpr std::string_view name = "\nbaobabtrail_config_version ";
+        const std::size_t line = page.find(name);
+        if (line == std::string::npos)
+            return std::nullopt;
+        return std::stoull(page.substr(line + name.size()));
     }
 
     std::vector<std::string> judge()
     {
         const CallerLog before = m_world.callerLog;
+        std::vector<std::size_t> feedAnswers;
+        for (const auto &caller : m_world.callers())
+            feedAnswers.push_back(caller->feedAnswers());
         for (int round = 0; round < 4; ++round) {
             for (const auto &caller : m_world.callers())
                 caller->ask(World::routeOf(0), "lending");
@@ -452,7 +500,14 @@
         const std::size_t answered = after.answered - before.answered;
         expect(answered * 10 >= asked * 9, std::to_string(answered) + " of " + std::to_string(asked)
                                                + " requests answered after the last fault");
+        for (std::size_t index = 0; index < feedAnswers.size(); ++index) {
+            const Caller &caller = *m_world.callers()[index];
+            expect(caller.feedAnswers() > feedAnswers[index],
+                   "the feed of " + toString(caller.address()) + " hangs");
+        }
         expect(after.broken == 0, std::to_string(after.broken) + " open flows broken");
+        for (const BrokenFlow &flow : after.brokenFlows)
+            m_findings.push_back(describe(flow));
         expect(after.wrongAnswers == 0, std::to_string(after.wrongAnswers) + " wrong answers");
         const TargetLog &targets = m_world.targetLog;
         expect(targets.wrongService == 0,
@@ -472,6 +527,16 @@
         return m_findings;
     }
 
+    /// \return The flow, the daemon that ended it, and what that daemon said last of the flow.
+    [[nodiscard]] std::string describe(const BrokenFlow &broken) const
+    {
+        const std::string flow = toString(broken.caller) + '>' + toString(broken.route);
+        const std::size_t daemon = m_world.indexOf(broken.daemon);
+        return "flow " + flow + " was ended at " + std::to_string(unixMillis(broken.at))
+               + " by daemon " + std::to_string(daemon)
+               + "; its log: " + m_logs.lastLine(daemon, flow, "\"flows\"");
+    }
+
     void expect(bool holds, const std::string &finding)
     {
         if (!holds)
--- a/standins/direct/caller.h
+++ b/standins/direct/caller.h
@@ -15,6 +15,15 @@
 
 namespace baobabtrail::standins {
 
+/// \brief An open flow that a daemon ended though it had no reason.
+struct BrokenFlow
+{
+    Endpoint caller;
+    Endpoint route;
+    Endpoint daemon;
+    std::chrono::system_clock::time_point at;
+};
+
 /// \brief What all callers of a run have seen.
 struct CallerLog
 {
@@ -26,6 +35,7 @@
     std::size_t wrongAnswers = 0; ///< An answer to another request.
     std::size_t broken = 0;       ///< Open flows that the balancer ended though it had no reason.
     std::size_t ended = 0;        ///< Open flows that ended for a reason.
+    std::vector<BrokenFlow> brokenFlows; ///< The broken ones, in order.
 };
 
 /// \brief The platform's routers: a daemon for each flow, by a hash that only moves the flows of
@@ -62,7 +72,7 @@
            std::function<bool(const Endpoint &route)> endExpected, CallerLog &log)
         : m_context(context)
         , m_end(context, address,
-                [this](std::string_view bytes, const Endpoint &) { receive(bytes); })
+                [this](std::string_view bytes, const Endpoint &from) { receive(bytes, from); })
         , m_address(address)
         , m_rotation(rotation)
         , m_endExpected(std::move(endExpected))
@@ -79,6 +89,10 @@
         begin(route, service, pause);
     }
 
+    [[nodiscard]] const Endpoint &address() const noexcept { return m_address; }
+    /// \return Answers that its feeds have got so far.
+    [[nodiscard]] std::size_t feedAnswers() const noexcept { return m_feedAnswers; }
+
     /// \brief Ends all feeds and waits for nothing more.
     void stop() { m_flows.clear(); }
 
@@ -164,7 +178,7 @@
         });
     }
 
-    void receive(std::string_view bytes)
+    void receive(std::string_view bytes, const Endpoint &from)
     {
         const auto packet = Packet::read(bytes);
         const auto found = packet ? m_flows.find(packet->destination.port) : m_flows.end();
@@ -172,7 +186,7 @@
             return;
         Flow &flow = found->second;
         if (packet->has(Packet::Rst)) {
-            reset(flow, *packet);
+            reset(flow, *packet, from);
             return;
         }
         flow.echo = packet->echo;
@@ -208,21 +222,27 @@
             m_flows.erase(flow.port);
             return;
         }
+        ++m_feedAnswers;
         later(flow, *flow.pause, [this](Flow &idle) {
             newRequest(idle);
             sendRequest(idle);
         });
     }
 
-    void reset(Flow &flow, const Packet &packet)
+    void reset(Flow &flow, const Packet &packet, const Endpoint &from)
     {
         const bool byBalancer = packet.sum == 0;
         if (!flow.open) {
             fail(flow.port, m_log.refused);
             return;
         }
-        const bool excused = !byBalancer || m_endExpected(flow.route);
-        fail(flow.port, excused ? m_log.ended : m_log.broken);
+        if (!byBalancer || m_endExpected(flow.route)) {
+            fail(flow.port, m_log.ended);
+            return;
+        }
+        m_log.brokenFlows.push_back(
+            {{m_address.address, flow.port}, flow.route, from, std::chrono::system_clock::now()});
+        fail(flow.port, m_log.broken);
     }
 
     void fail(std::uint16_t port, std::size_t &counter)
@@ -278,6 +298,7 @@
     std::map<std::uint16_t, Flow> m_flows;
     std::uint16_t m_lastPort = 1023;
     std::uint64_t m_lastRequest = 0;
+    std::size_t m_feedAnswers = 0;
 };
 
 } // namespace baobabtrail::standins
--- a/standins/direct/world.h
+++ b/standins/direct/world.h
@@ -54,6 +54,11 @@
     /// \return The proxy by which other daemons reach a daemon.
     [[nodiscard]] TcpProxy &peersOf(std::size_t index) { return *m_peerProxies[index]; }
     [[nodiscard]] std::vector<std::unique_ptr<Caller>> &callers() noexcept { return m_callers; }
+    /// \return Index of the daemon that sends from an address.
+    [[nodiscard]] std::size_t indexOf(const Endpoint &daemon) const
+    {
+        return daemon.address - daemonAddress(0, 0).address;
+    }
     [[nodiscard]] std::size_t inRotation() const noexcept { return m_rotation.daemons.size(); }
     [[nodiscard]] static Endpoint routeOf(int number)
     {
@@ -150,6 +155,12 @@
 
     /// \return Version of the newest configuration.
     [[nodiscard]] std::uint64_t newestConfiguration() const noexcept { return m_version; }
+    /// \return Version of the configuration that the store has.
+    [[nodiscard]] std::int64_t storedConfiguration() const
+    {
+        const auto object = test::getJson(storePort(), "/baobabtrail/objects/config/main");
+        return object.at("spec").at("version").as_int64();
+    }
 
     /// \brief How much longer a target that starts now says that it is cold.
     std::chrono::milliseconds coldFor{0};
@@ -246,7 +257,7 @@
         return daemonAddress(index, 1);
     }
 
-    /// \return A metrics page of a daemon.
+    /// \return A metrics page of a daemon; empty where it gives none in time.
     [[nodiscard]] std::string metricsOf(std::size_t index)
     {
         std::string page;
