Soak: targets that lapsed register within two seconds of the store's return

The users promise about two seconds, and a target that is missing then is to be taken as gone: a daemon that does so would be blamed for it.

Cause: targets asked whether six seconds had passed since the store was last harmed, and looked again each second; that time is meant for the soak's own operators, whose calls block.

--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -115,6 +115,7 @@
         , m_random(seed)
         , m_largeRandom(~seed)
         , m_plannedRandom(seed ^ 0x9E3779B97F4A7C15U)
+        , m_returnRandom(~seed ^ 0x9E3779B97F4A7C15U)
         , m_world(FLAGS_daemons, std::min<std::size_t>(3, FLAGS_daemons), FLAGS_callers)
     {
         m_world.output
@@ -283,12 +284,13 @@
         });
     }
 
+    /// \brief A target that lives registers within two seconds of the store's return.
     void registerAgain(std::size_t target)
     {
-        if (storeAway())
-            later(1s, [this, target] { registerAgain(target); });
-        else
+        if (m_storeIsWell)
             m_world.registerAgain(target);
+        else
+            m_waitForStore.push_back(target);
     }
 
     void kill(std::size_t index)
@@ -353,6 +355,7 @@
         // Operators and targets of this process write to the store itself, not through a proxy;
         // they hold back until it is well.
         m_storeHarmed = World::Clock::now() + 6s;
+        m_storeIsWell = false;
         later(std::chrono::milliseconds{draw(300, 4000)}, [this] { healStore(); });
     }
 
@@ -360,6 +363,11 @@
     {
         m_world.setSwitches(
             R"({"down": false, "busy": false, "silent": false, "slow": 0, "silentWatch": false})");
+        m_storeIsWell = true;
+        using Draw = boost::random::uniform_int_distribution<int>;
+        for (const std::size_t target : std::exchange(m_waitForStore, {}))
+            later(std::chrono::milliseconds{Draw{0, 2000}(m_returnRandom)},
+                  [this, target] { registerAgain(target); });
     }
 
     /// \return A live target of which enough others are left.
@@ -547,12 +555,15 @@
     Random m_random;
     Random m_largeRandom;
     Random m_plannedRandom;
+    Random m_returnRandom;
     World m_world;
     std::vector<std::size_t> m_live; ///< Targets that neither drain nor crashed.
     std::set<std::size_t> m_dead;    ///< Daemons that ended and are to be started again.
     std::set<std::size_t> m_paused;
     std::vector<std::uint64_t> m_unregister; ///< Gone targets that are still in the store.
     World::Clock::time_point m_storeHarmed{};
+    bool m_storeIsWell = true;
+    std::vector<std::size_t> m_waitForStore; ///< Targets that can't register.
     bool m_grown = false; ///< The configuration has many routes that nobody calls.
     std::vector<std::string> m_findings;
 };
