--- a/standins/caller/main.cpp
+++ b/standins/caller/main.cpp
@@ -5,7 +5,7 @@
 #include "caller/requests.h"
 #include "command_line.h"
 #include "support/http_server.h"
-#include "support/process.h"
+#include "support/standin_process.h"
 #include "support/udp_port.h"
 #include "wire/codec.h"
 
--- a/standins/caller/requests.cpp
+++ b/standins/caller/requests.cpp
@@ -1,6 +1,6 @@
 #include "caller/requests.h"
 
-#include "support/process.h"
+#include "support/standin_process.h"
 
 #include <algorithm>
 #include <sstream>
--- a/standins/fabric/fabric.cpp
+++ b/standins/fabric/fabric.cpp
@@ -1,6 +1,6 @@
 #include "fabric/fabric.h"
 
-#include "support/process.h"
+#include "support/standin_process.h"
 #include "wire/codec.h"
 
 #include <boost/random/uniform_int_distribution.hpp>
--- a/standins/fabric/main.cpp
+++ b/standins/fabric/main.cpp
@@ -3,7 +3,7 @@
 
 #include "command_line.h"
 #include "fabric/fabric.h"
-#include "support/process.h"
+#include "support/standin_process.h"
 
 #include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/split.hpp>
--- a/standins/platform/main.cpp
+++ b/standins/platform/main.cpp
@@ -3,7 +3,7 @@
 
 #include "command_line.h"
 #include "platform/platform_service.h"
-#include "support/process.h"
+#include "support/standin_process.h"
 
 DEFINE_uint32(port, 0, "TCP port; 0 for a free one");
 DEFINE_uint64(seed, 1, "seed of what is drawn at random");
--- a/standins/platform/platform_service.h
+++ b/standins/platform/platform_service.h
@@ -4,7 +4,7 @@
 #include "platform/rate_limit.h"
 #include "platform/vm_registry.h"
 #include "support/http_server.h"
-#include "support/process.h"
+#include "support/standin_process.h"
 
 #include <cstdint>
 #include <map>
--- a/standins/target/main.cpp
+++ b/standins/target/main.cpp
@@ -3,7 +3,7 @@
 
 #include "command_line.h"
 #include "support/http_server.h"
-#include "support/process.h"
+#include "support/standin_process.h"
 #include "target/flow_table.h"
 #include "target/request_server.h"
 
--- a/standins/target/target_state.h
+++ b/standins/target/target_state.h
@@ -3,7 +3,7 @@
 #include "core/load.h"
 #include "core/messages/request.h"
 #include "core/random.h"
-#include "support/process.h"
+#include "support/standin_process.h"
 #include "target/target_settings.h"
 
 #include <boost/json.hpp>
