--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -8,17 +8,13 @@
 
 #include "command_line.h"
 #include "core/random.h"
-#include "direct/world.h"
+#include "soak/soak_logs.h"
+#include "soak/verdict.h"
 
 #include <boost/random/uniform_int_distribution.hpp>
 
-#include <cmath>
-#include <filesystem>
-#include <fstream>
 #include <iostream>
 
-#include <unistd.h>
-
 DEFINE_uint64(seed, 1, "first seed");
 DEFINE_uint64(seeds, 1, "seeds to run, one after the other");
 DEFINE_uint32(seconds, 20, "time with faults, for each seed");
@@ -34,84 +30,16 @@
 
 using namespace baobabtrail;
 using namespace baobabtrail::standins;
+using baobabtrail::soak::SoakLogs;
+using baobabtrail::soak::Verdict;
 using namespace std::chrono_literals;
 
-[[nodiscard]] std::int64_t unixMillis(std::chrono::system_clock::time_point time)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
-}
-
-/// \brief What one seed leaves behind: the daemons' logs, the faults with their times, and what
-/// each target ran. Goes with its owner unless it is kept.
-class SoakLogs
-{
-public:
-    explicit SoakLogs(std::uint64_t seed)
-        : m_directory(std::filesystem::path{FLAGS_keep}
-                      / ("seed-" + std::to_string(seed) + '-' + std::to_string(getpid())))
-    {
-        std::filesystem::create_directories(m_directory);
-        m_faults.open(m_directory / "faults.log");
-    }
-    ~SoakLogs()
-    {
-        std::error_code ignored; // What can't be removed is only left over.
-        if (!m_kept)
-            std::filesystem::remove_all(m_directory, ignored);
-    }
-    SoakLogs(const SoakLogs &) = delete;
-    SoakLogs &operator=(const SoakLogs &) = delete;
-
-    [[nodiscard]] std::string directory() const { return m_directory; }
-
-    void fault(const std::string &what)
-    {
-        m_faults << unixMillis(std::chrono::system_clock::now()) << ' ' << what << std::endl;
-    }
-
-    /// \brief Writes a file beside the logs.
-    void add(const std::string &file, const std::string &text) const
-    {
-        std::ofstream{m_directory / file} << text;
-    }
-
-    /// \return The last line of a daemon's log that has both words; empty for none.
-    [[nodiscard]] std::string lastLine(std::size_t daemon, const std::string &word,
-                                       const std::string &other) const
-    {
-        std::ifstream log{m_directory / ("daemon" + std::to_string(daemon) + ".log")};
-        std::string found;
-        for (std::string line; std::getline(log, line);) {
-            if (line.find(word) != std::string::npos && line.find(other) != std::string::npos)
-                found = line;
-        }
-        return found;
-    }
-
-    /// \return The directory.
-    std::string keep(const TargetLog &targets)
-    {
-        m_kept = true;
-        std::ofstream runs{m_directory / "runs.log"};
-        for (const TargetRun &run : targets.record)
-            runs << unixMillis(run.at) << " request " << run.request << " target " << run.target
-                 << " caller " << toString(run.caller) << " daemon " << toString(run.daemon)
-                 << (targets.runs.at(run.request) > 1 ? " TWICE" : "") << '\n';
-        return m_directory;
-    }
-
-private:
-    std::filesystem::path m_directory;
-    std::ofstream m_faults;
-    bool m_kept = false;
-};
-
 /// \brief One seed: a system, its faults, and the verdict.
 class Soak
 {
 public:
     explicit Soak(std::uint64_t seed)
-        : m_logs(seed)
+        : m_logs(FLAGS_keep, seed)
         , m_random(seed)
         , m_largeRandom(~seed)
         , m_plannedRandom(seed ^ 0x9E3779B97F4A7C15U)
@@ -140,7 +68,8 @@
             m_world.run(std::chrono::milliseconds{draw(20, 700)});
         }
         heal();
-        return judge();
+        m_verdict.judgeTraffic();
+        return m_verdict.findings();
     }
 
 private:
@@ -167,7 +96,7 @@
         for (std::size_t index = 0; index < FLAGS_daemons; ++index)
             m_world.startDaemon(index);
         if (!m_world.runUntil([&] { return m_world.inRotation() == FLAGS_daemons; }, 20s))
-            m_findings.emplace_back("not all daemons were ready within 20 s of the start");
+            m_verdict.expect(false, "not all daemons were ready within 20 s of the start");
         m_world.coldFor = 3s;
         for (const auto &caller : m_world.callers())
             caller->feed(World::routeOf(0), "lending", 50ms);
@@ -306,9 +235,8 @@
             return;
         say("stop " + std::to_string(index));
         const int status = m_world.stopDaemon(index);
-        if (status != 0)
-            m_findings.push_back("daemon " + std::to_string(index) + " ended with status "
-                                 + std::to_string(status) + " after SIGTERM");
+        m_verdict.expect(status == 0, "daemon " + std::to_string(index) + " ended with status "
+                                          + std::to_string(status) + " after SIGTERM");
         m_dead.insert(index);
     }
 
@@ -453,102 +381,10 @@
                 m_world.startDaemon(index);
         }
         if (!m_world.runUntil([&] { return m_world.inRotation() == FLAGS_daemons; }, 12s))
-            m_findings.emplace_back("not all daemons were ready within 12 s of the last fault");
+            m_verdict.expect(false, "not all daemons were ready within 12 s of the last fault");
         m_world.run(4s);
         for (std::size_t index = 0; index < FLAGS_daemons; ++index)
-            judgeConfiguration(index);
-    }
-
-    void judgeConfiguration(std::size_t index)
-    {
-        const std::string daemon = "daemon " + std::to_string(index);
-        const auto askedAt = World::Clock::now();
-        std::string page = m_world.metricsOf(index);
-        if (page.empty()) {
-            const std::chrono::duration<double, std::milli> waited = World::Clock::now() - askedAt;
-            m_findings.push_back(daemon + " gave no page of metrics in time (asked "
-                                 + std::to_string(std::lround(waited.count())) + " ms ago)");
-            page = m_world.metricsOf(index);
-        }
-        m_logs.add("metrics" + std::to_string(index) + ".txt", page);
-        const auto inForce = configurationOn(page);
-        if (!inForce)
-            m_findings.push_back(daemon + " tells of no configuration");
-        else if (*inForce != m_world.newestConfiguration())
-            m_findings.push_back(
-                daemon + " acts by an old configuration: " + std::to_string(*inForce)
-                + ", the newest is " + std::to_string(m_world.newestConfiguration())
-                + ", the store has " + std::to_string(m_world.storedConfiguration())
-                + "; its log: " + m_logs.lastLine(index, "routes_in_force", "config"));
-    }
-
-    /// \return Version of the configuration in force, as a page of metrics says.
-    [[nodiscard]] static std::optional<std::uint64_t> configurationOn(const std::string &page)
-    {
-        constexpr std::string_view name = "\nbaobabtrail_config_version ";
-        const std::size_t line = page.find(name);
-        if (line == std::string::npos)
-            return std::nullopt;
-        return std::stoull(page.substr(line + name.size()));
-    }
-
-    std::vector<std::string> judge()
-    {
-        const CallerLog before = m_world.callerLog;
-        std::vector<std::size_t> feedAnswers;
-        for (const auto &caller : m_world.callers())
-            feedAnswers.push_back(caller->feedAnswers());
-        for (int round = 0; round < 4; ++round) {
-            for (const auto &caller : m_world.callers())
-                caller->ask(World::routeOf(0), "lending");
-            m_world.run(500ms);
-        }
-        const CallerLog &after = m_world.callerLog;
-        const std::size_t asked = after.asked - before.asked;
-        const std::size_t answered = after.answered - before.answered;
-        expect(answered * 10 >= asked * 9, std::to_string(answered) + " of " + std::to_string(asked)
-                                               + " requests answered after the last fault");
-        for (std::size_t index = 0; index < feedAnswers.size(); ++index) {
-            const Caller &caller = *m_world.callers()[index];
-            expect(caller.feedAnswers() > feedAnswers[index],
-                   "the feed of " + toString(caller.address()) + " hangs");
-        }
-        expect(after.broken == 0, std::to_string(after.broken) + " open flows broken");
-        for (const BrokenFlow &flow : after.brokenFlows)
-            m_findings.push_back(describe(flow));
-        expect(after.wrongAnswers == 0, std::to_string(after.wrongAnswers) + " wrong answers");
-        const TargetLog &targets = m_world.targetLog;
-        expect(targets.wrongService == 0,
-               std::to_string(targets.wrongService) + " requests at another service's target");
-        expect(targets.lateOpens == 0,
-               std::to_string(targets.lateOpens) + " flows opened at a drained target");
-        expect(targets.evacuatedOpens == 0,
-               std::to_string(targets.evacuatedOpens) + " flows opened in an evacuated domain");
-        expect(targets.coldOpens == 0,
-               std::to_string(targets.coldOpens) + " flows beyond what a cold target bears");
-        const auto twice = std::count_if(targets.runs.begin(), targets.runs.end(),
-                                         [](const auto &item) { return item.second > 1; });
-        expect(twice == 0, std::to_string(twice) + " requests ran twice");
-        std::cout << "asked " << after.asked << " answered " << after.answered << " refused "
-                  << after.refused << " timed out " << after.timedOut << " flows ended "
-                  << after.ended << " broken " << after.broken << '\n';
-        return m_findings;
-    }
-
-    /// \return The flow, the daemon that ended it, and what that daemon said last of the flow.
-    [[nodiscard]] std::string describe(const BrokenFlow &broken) const
-    {
-        const std::string flow = toString(broken.caller) + '>' + toString(broken.route);
-        const std::size_t daemon = m_world.indexOf(broken.daemon);
-        return "flow " + flow + " was ended at " + std::to_string(unixMillis(broken.at))
-               + " by daemon " + std::to_string(daemon)
-               + "; its log: " + m_logs.lastLine(daemon, flow, "\"flows\"");
-    }
-
-    void expect(bool holds, const std::string &finding)
-    {
-        if (!holds)
-            m_findings.push_back(finding);
+            m_verdict.judgeConfiguration(index);
     }
 
     SoakLogs m_logs;
@@ -557,6 +393,7 @@
     Random m_plannedRandom;
     Random m_returnRandom;
     World m_world;
+    Verdict m_verdict{m_world, m_logs};
     std::vector<std::size_t> m_live; ///< Targets that neither drain nor crashed.
     std::set<std::size_t> m_dead;    ///< Daemons that ended and are to be started again.
     std::set<std::size_t> m_paused;
@@ -565,7 +402,6 @@
     bool m_storeIsWell = true;
     std::vector<std::size_t> m_waitForStore; ///< Targets that can't register.
     bool m_grown = false; ///< The configuration has many routes that nobody calls.
-    std::vector<std::string> m_findings;
 };
 
 /// \return Findings of all seeds.
--- /dev/null
+++ b/bench/soak/verdict.h
@@ -0,0 +1,162 @@
+#pragma once
+
+#include "direct/world.h"
+#include "soak/soak_logs.h"
+
+#include <algorithm>
+#include <cmath>
+#include <iostream>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace baobabtrail::soak {
+
+using standins::BrokenFlow;
+using standins::Caller;
+using standins::CallerLog;
+using standins::World;
+
+/// \brief What one seed has broken, as callers, targets and the daemons' own pages show it.
+class Verdict
+{
+public:
+    /// \param world, logs Must outlive the verdict.
+    Verdict(World &world, const SoakLogs &logs)
+        : m_world(world)
+        , m_logs(logs)
+    {
+    }
+
+    [[nodiscard]] const std::vector<std::string> &findings() const noexcept { return m_findings; }
+
+    void expect(bool holds, const std::string &finding)
+    {
+        if (!holds)
+            m_findings.push_back(finding);
+    }
+
+    /// \brief The daemon has to act by the newest configuration, and to say so.
+    void judgeConfiguration(std::size_t index)
+    {
+        const std::string daemon = "daemon " + std::to_string(index);
+        const std::string page = metricsOf(index);
+        m_logs.add("metrics" + std::to_string(index) + ".txt", page);
+        const auto inForce = configurationOn(page);
+        expect(inForce.has_value(), daemon + " tells of no configuration");
+        if (!inForce || *inForce == m_world.newestConfiguration())
+            return;
+        m_findings.push_back(daemon + " acts by an old configuration: " + std::to_string(*inForce)
+                             + ", the newest is " + std::to_string(m_world.newestConfiguration())
+                             + ", the store has " + std::to_string(m_world.storedConfiguration())
+                             + "; its log: " + m_logs.lastLine(index, "routes_in_force", "config"));
+    }
+
+    /// \brief Lets all callers ask once more, and judges all that callers and targets have seen.
+    void judgeTraffic()
+    {
+        const CallerLog before = m_world.callerLog;
+        const std::vector<std::size_t> feedsBefore = feedAnswers();
+        for (int round = 0; round < 4; ++round) {
+            for (const auto &caller : m_world.callers())
+                caller->ask(World::routeOf(0), "lending");
+            m_world.run(std::chrono::milliseconds{500});
+        }
+        judgeLastAnswers(before, feedsBefore);
+        judgeCallers();
+        judgeTargets();
+    }
+
+private:
+    /// \return A daemon's page of metrics. One that it gives only when it is asked again, or not at
+    /// all, is no old configuration.
+    [[nodiscard]] std::string metricsOf(std::size_t index)
+    {
+        const auto askedAt = World::Clock::now();
+        std::string page = m_world.metricsOf(index);
+        if (!page.empty())
+            return page;
+        const std::chrono::duration<double, std::milli> waited = World::Clock::now() - askedAt;
+        m_findings.push_back("daemon " + std::to_string(index)
+                             + " gave no page of metrics in time (asked "
+                             + std::to_string(std::lround(waited.count())) + " ms ago)");
+        return m_world.metricsOf(index);
+    }
+
+    /// \return Version of the configuration in force, as a page of metrics says.
+    [[nodiscard]] static std::optional<std::uint64_t> configurationOn(const std::string &page)
+    {
+        constexpr std::string_view name = "\nbaobabtrail_config_version ";
+        const std::size_t line = page.find(name);
+        if (line == std::string::npos)
+            return std::nullopt;
+        return std::stoull(page.substr(line + name.size()));
+    }
+
+    /// \return Answers that the feed of each caller has got so far.
+    [[nodiscard]] std::vector<std::size_t> feedAnswers() const
+    {
+        std::vector<std::size_t> answers;
+        for (const auto &caller : m_world.callers())
+            answers.push_back(caller->feedAnswers());
+        return answers;
+    }
+
+    void judgeLastAnswers(const CallerLog &before, const std::vector<std::size_t> &feedsBefore)
+    {
+        const CallerLog &after = m_world.callerLog;
+        const std::size_t asked = after.asked - before.asked;
+        const std::size_t answered = after.answered - before.answered;
+        expect(answered * 10 >= asked * 9, std::to_string(answered) + " of " + std::to_string(asked)
+                                               + " requests answered after the last fault");
+        for (std::size_t index = 0; index < feedsBefore.size(); ++index) {
+            const Caller &caller = *m_world.callers()[index];
+            expect(caller.feedAnswers() > feedsBefore[index],
+                   "the feed of " + toString(caller.address()) + " hangs");
+        }
+    }
+
+    void judgeCallers()
+    {
+        const CallerLog &callers = m_world.callerLog;
+        expect(callers.broken == 0, std::to_string(callers.broken) + " open flows broken");
+        for (const BrokenFlow &flow : callers.brokenFlows)
+            m_findings.push_back(describe(flow));
+        expect(callers.wrongAnswers == 0, std::to_string(callers.wrongAnswers) + " wrong answers");
+        std::cout << "asked " << callers.asked << " answered " << callers.answered << " refused "
+                  << callers.refused << " timed out " << callers.timedOut << " flows ended "
+                  << callers.ended << " broken " << callers.broken << '\n';
+    }
+
+    void judgeTargets()
+    {
+        const TargetLog &targets = m_world.targetLog;
+        expect(targets.wrongService == 0,
+               std::to_string(targets.wrongService) + " requests at another service's target");
+        expect(targets.lateOpens == 0,
+               std::to_string(targets.lateOpens) + " flows opened at a drained target");
+        expect(targets.evacuatedOpens == 0,
+               std::to_string(targets.evacuatedOpens) + " flows opened in an evacuated domain");
+        expect(targets.coldOpens == 0,
+               std::to_string(targets.coldOpens) + " flows beyond what a cold target bears");
+        const auto twice = std::count_if(targets.runs.begin(), targets.runs.end(),
+                                         [](const auto &item) { return item.second > 1; });
+        expect(twice == 0, std::to_string(twice) + " requests ran twice");
+    }
+
+    /// \return The flow, the daemon that ended it, and what that daemon said last of the flow.
+    [[nodiscard]] std::string describe(const BrokenFlow &broken) const
+    {
+        const std::string flow = toString(broken.caller) + '>' + toString(broken.route);
+        const std::size_t daemon = m_world.indexOf(broken.daemon);
+        return "flow " + flow + " was ended at " + std::to_string(unixMillis(broken.at))
+               + " by daemon " + std::to_string(daemon)
+               + "; its log: " + m_logs.lastLine(daemon, flow, "\"flows\"");
+    }
+
+    World &m_world;
+    const SoakLogs &m_logs;
+    std::vector<std::string> m_findings;
+};
+
+} // namespace baobabtrail::soak
