Stand-ins: the store as it is operated in a header of its own

world.h had 497 lines, of daemons, callers and rotation on one side and of what operators and targets write to the store on the other. The latter is OperatedStore now; nothing else changes. Suites direct-system and explain pass.

--- /dev/null
+++ b/standins/direct/operated_store.h
@@ -0,0 +1,157 @@
+#pragma once
+
+#include "direct/target.h"
+#include "support/http.h"
+#include "support/process.h"
+
+#include <boost/json.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace baobabtrail::standins {
+
+/// \brief The platform's store, as a process, and what operators and targets write to it. Each call
+/// waits for its answer, and everything else in this process with it.
+class OperatedStore
+{
+public:
+    [[nodiscard]] static Endpoint routeOf(int number)
+    {
+        return {0xC6120001U, static_cast<std::uint16_t>(8000 + number)};
+    }
+    [[nodiscard]] static std::size_t domainOf(std::uint64_t target) { return target % 3; }
+    [[nodiscard]] static std::string nameOfDomain(std::size_t domain)
+    {
+        return "domain" + std::to_string(domain);
+    }
+
+    [[nodiscard]] std::uint16_t port() const { return m_process.ports().at("http"); }
+
+    // Faults.
+
+    void setSwitches(const std::string &json) const { put("/control/switches", json); }
+    void compact() const { call(Verb::post, "/control/compact"); }
+
+    // Operators.
+
+    /// \brief Writes a version of the configuration that has just these routes.
+    void writeRoutes(const std::set<int> &numbers)
+    {
+        boost::json::array routes;
+        for (const int number : numbers)
+            routes.push_back(entryOf(number));
+        const boost::json::object spec{
+            {"version", ++m_version},
+            {"routes", routes},
+            {"services", {serviceNamed("lending"), serviceNamed("catalogue")}},
+            {"limits", {{"idle_timeout_ms", 15000}}}};
+        const std::string body = boost::json::serialize(
+            boost::json::object{{"meta", {{"name", "main"}}}, {"spec", spec}});
+        if (m_version == 1)
+            post("config", body);
+        else
+            put("/baobabtrail/objects/config/main", body);
+    }
+    /// \return Version of the newest configuration.
+    [[nodiscard]] std::uint64_t newestConfiguration() const noexcept { return m_version; }
+    /// \return Version of the configuration that the store has.
+    [[nodiscard]] std::int64_t storedConfiguration() const
+    {
+        const auto object = test::getJson(port(), "/baobabtrail/objects/config/main");
+        return object.at("spec").at("version").as_int64();
+    }
+
+    void evacuate(std::size_t domain) const
+    {
+        post("evacuations",
+             boost::json::serialize(boost::json::object{{"meta", {{"name", nameOfDomain(domain)}}},
+                                                        {"spec", boost::json::object{}}}));
+    }
+    void restore(std::size_t domain) const
+    {
+        call(Verb::delete_, "/baobabtrail/objects/evacuations/" + nameOfDomain(domain));
+    }
+
+    // Targets.
+
+    /// \param coldFor How much longer it says that it is cold.
+    void registerTarget(const Target &target, std::chrono::milliseconds coldFor) const
+    {
+        post("servers", registrationOf(target, "ready", coldFor));
+    }
+    void reportDraining(const Target &target, std::chrono::milliseconds coldFor) const
+    {
+        put(pathOf(target.id()), registrationOf(target, "draining", coldFor));
+    }
+    void unregister(std::uint64_t target) const { call(Verb::delete_, pathOf(target)); }
+
+private:
+    using Verb = boost::beast::http::verb;
+
+    static constexpr double ColdPerSecond = 12.0;
+
+    [[nodiscard]] static boost::json::object serviceNamed(const char *name)
+    {
+        return {{"name", name}, {"warmup_s", 3.0}, {"warmup_per_s", ColdPerSecond}};
+    }
+
+    [[nodiscard]] static boost::json::object entryOf(int number)
+    {
+        return {{"name", "r" + std::to_string(number)},
+                {"host", "198.18.0.1"},
+                {"path_prefix", '/' + std::to_string(routeOf(number).port) + '/'},
+                {"service", number % 2 == 0 ? "lending" : "catalogue"}};
+    }
+
+    [[nodiscard]] static std::string nameOf(std::uint64_t target)
+    {
+        constexpr std::string_view digits = "0123456789abcdef";
+        std::string hex;
+        for (int shift = 28; shift >= 0; shift -= 4)
+            hex += digits[(target >> shift) & 0xf];
+        return "i-" + hex;
+    }
+
+    [[nodiscard]] static std::string pathOf(std::uint64_t target)
+    {
+        return "/baobabtrail/objects/servers/" + nameOf(target);
+    }
+
+    [[nodiscard]] static std::string registrationOf(const Target &target, const std::string &state,
+                                                    std::chrono::milliseconds coldFor)
+    {
+        return boost::json::serialize(
+            boost::json::object{{"meta", {{"name", nameOf(target.id())}}},
+                                {"spec",
+                                 {{"service", target.service()},
+                                  {"address", toString(target.address())},
+                                  {"zone", nameOfDomain(domainOf(target.id()))},
+                                  {"version", "v1"},
+                                  {"slots", 2},
+                                  {"state", state},
+                                  {"warmup_left_ms", coldFor.count()},
+                                  {"seq", 1}}}});
+    }
+
+    void put(const std::string &path, const std::string &body) const
+    {
+        call(Verb::put, path, body);
+    }
+    void post(const std::string &collection, const std::string &body) const
+    {
+        call(Verb::post, "/baobabtrail/objects/" + collection, body);
+    }
+    void call(Verb verb, const std::string &path, const std::string &body = {}) const
+    {
+        test::callHttp(verb, port(), path, body);
+    }
+
+    test::Process m_process{"standin-platform", {}};
+    std::uint64_t m_version = 0;
+};
+
+} // namespace baobabtrail::standins
--- a/standins/direct/world.h
+++ b/standins/direct/world.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "direct/caller.h"
+#include "direct/operated_store.h"
 #include "direct/target.h"
 #include "direct/tcp_proxy.h"
 #include "net/http_client.h"
 #include "support/free_ports.h"
-#include "support/http.h"
 #include "support/process.h"
 #include "support/temporary_directory.h"
 
@@ -30,7 +30,7 @@
         : m_ports(test::freePorts(3))
         , m_roots(roots)
     {
-        writeRoutes();
+        m_store.writeRoutes(m_routes);
         for (std::size_t index = 0; index < daemons; ++index) {
             m_proxies.push_back(std::make_unique<TcpProxy>(m_context, storePort()));
             m_peerProxies.push_back(std::make_unique<TcpProxy>(
@@ -60,10 +60,7 @@
         return daemon.address - daemonAddress(0, 0).address;
     }
     [[nodiscard]] std::size_t inRotation() const noexcept { return m_rotation.daemons.size(); }
-    [[nodiscard]] static Endpoint routeOf(int number)
-    {
-        return {0xC6120001U, static_cast<std::uint16_t>(8000 + number)};
-    }
+    [[nodiscard]] static Endpoint routeOf(int number) { return OperatedStore::routeOf(number); }
 
     void run(std::chrono::milliseconds span)
     {
@@ -124,11 +121,8 @@
 
     // The store, as operators and targets write to it.
 
-    void setSwitches(const std::string &json) { put("/control/switches", json); }
-    void compact()
-    {
-        test::callHttp(boost::beast::http::verb::post, storePort(), "/control/compact");
-    }
+    void setSwitches(const std::string &json) { m_store.setSwitches(json); }
+    void compact() { m_store.compact(); }
 
     /// \brief Adds or removes the route of a number; route 0 is always there.
     void setRoute(int number, bool there)
@@ -138,7 +132,7 @@
         else
             m_routes.erase(number);
         m_removedAt[number] = Clock::now();
-        writeRoutes();
+        m_store.writeRoutes(m_routes);
     }
 
     /// \brief Adds or removes many routes in one version of the configuration; nobody calls them.
@@ -150,17 +144,16 @@
             else
                 m_routes.erase(number);
         }
-        writeRoutes();
+        m_store.writeRoutes(m_routes);
     }
 
     /// \return Version of the newest configuration.
-    [[nodiscard]] std::uint64_t newestConfiguration() const noexcept { return m_version; }
-    /// \return Version of the configuration that the store has.
-    [[nodiscard]] std::int64_t storedConfiguration() const
+    [[nodiscard]] std::uint64_t newestConfiguration() const noexcept
     {
-        const auto object = test::getJson(storePort(), "/baobabtrail/objects/config/main");
-        return object.at("spec").at("version").as_int64();
+        return m_store.newestConfiguration();
     }
+    /// \return Version of the configuration that the store has.
+    [[nodiscard]] std::int64_t storedConfiguration() const { return m_store.storedConfiguration(); }
 
     /// \brief How much longer a target that starts now says that it is cold.
     std::chrono::milliseconds coldFor{0};
@@ -175,9 +168,10 @@
                                                      std::chrono::milliseconds{20}, targetLog));
         if (coldFor.count() > 0)
             m_targets.back()->coldUntil(Clock::now() + coldFor, MostOpensOfCold);
-        if (const auto since = m_evacuated.find(domainOf(id)); since != m_evacuated.end())
+        if (const auto since = m_evacuated.find(OperatedStore::domainOf(id));
+            since != m_evacuated.end())
             m_targets.back()->evacuateAt(Clock::now() + since->second);
-        create(*m_targets.back());
+        m_store.registerTarget(*m_targets.back(), coldFor);
         return m_targets.size() - 1;
     }
 
@@ -185,9 +179,7 @@
     /// as late.
     void evacuate(std::size_t domain, std::chrono::milliseconds bound)
     {
-        post("/baobabtrail/objects/evacuations",
-             boost::json::serialize(boost::json::object{{"meta", {{"name", nameOfDomain(domain)}}},
-                                                        {"spec", boost::json::object{}}}));
+        m_store.evacuate(domain);
         m_evacuated[domain] = bound;
         eachTargetOf(domain, [&](Target &target) { target.evacuateAt(Clock::now() + bound); });
     }
@@ -196,8 +188,7 @@
     {
         eachTargetOf(domain, [](Target &target) { target.evacuateAt(std::nullopt); });
         m_evacuated.erase(domain);
-        test::callHttp(boost::beast::http::verb::delete_, storePort(),
-                       "/baobabtrail/objects/evacuations/" + nameOfDomain(domain));
+        m_store.restore(domain);
     }
     [[nodiscard]] bool evacuated(std::size_t domain) const { return m_evacuated.contains(domain); }
 
@@ -213,15 +204,14 @@
     void registerAgain(std::size_t index)
     {
         if (m_targets[index] && m_lapsed.erase(m_targets[index]->id()) > 0)
-            create(*m_targets[index]);
+            m_store.registerTarget(*m_targets[index], coldFor);
     }
 
     /// \brief Reports a target as draining; flows that open there \a bound later count as late.
     void drain(std::size_t index, std::chrono::milliseconds bound)
     {
-        const Target &target = *m_targets[index];
         registerAgain(index);
-        put(pathOf(target.id()), bodyOf(target, "draining"));
+        m_store.reportDraining(*m_targets[index], coldFor);
         m_targets[index]->closeAt(Clock::now() + bound);
     }
 
@@ -238,7 +228,7 @@
     void unregister(std::uint64_t id)
     {
         if (m_lapsed.erase(id) == 0)
-            test::callHttp(boost::beast::http::verb::delete_, storePort(), pathOf(id));
+            m_store.unregister(id);
     }
 
     [[nodiscard]] const std::vector<std::unique_ptr<Target>> &targets() const noexcept
@@ -270,7 +260,6 @@
     }
 
 private:
-    static constexpr double ColdPerSecond = 12.0;
     /// What a cold target has to bear in a second at most: half as much again, and five.
     static constexpr std::size_t MostOpensOfCold = 23;
     static constexpr int FirstMisses = 2; ///< Out of rotation until it answers.
@@ -279,7 +268,7 @@
     static constexpr std::chrono::seconds EndsAfterCrash{20};
 
     [[nodiscard]] std::uint16_t packetPort() const { return m_ports[0]; }
-    [[nodiscard]] std::uint16_t storePort() const { return m_store.ports().at("http"); }
+    [[nodiscard]] std::uint16_t storePort() const { return m_store.port(); }
 
     /// \return Address of a daemon: 0 for packets, 1 for HTTP.
     [[nodiscard]] Endpoint daemonAddress(std::size_t index, std::size_t kind) const
@@ -349,91 +338,15 @@
         return path;
     }
 
-    [[nodiscard]] static boost::json::object serviceNamed(const char *name)
-    {
-        return {{"name", name}, {"warmup_s", 3.0}, {"warmup_per_s", ColdPerSecond}};
-    }
-
-    void writeRoutes()
-    {
-        boost::json::array routes;
-        for (const int number : m_routes) {
-            const Endpoint route = routeOf(number);
-            routes.push_back({{"name", "r" + std::to_string(number)},
-                              {"host", "198.18.0.1"},
-                              {"path_prefix", '/' + std::to_string(route.port) + '/'},
-                              {"service", number % 2 == 0 ? "lending" : "catalogue"}});
-        }
-        const boost::json::object spec{
-            {"version", ++m_version},
-            {"routes", routes},
-            {"services", {serviceNamed("lending"), serviceNamed("catalogue")}},
-            {"limits", {{"idle_timeout_ms", 15000}}}};
-        const std::string body = boost::json::serialize(
-            boost::json::object{{"meta", {{"name", "main"}}}, {"spec", spec}});
-        if (m_version == 1)
-            post("/baobabtrail/objects/config", body);
-        else
-            put("/baobabtrail/objects/config/main", body);
-    }
-
-    [[nodiscard]] static std::size_t domainOf(std::uint64_t id) { return id % 3; }
-    [[nodiscard]] static std::string nameOfDomain(std::size_t domain)
-    {
-        return "domain" + std::to_string(domain);
-    }
     template <typename Each>
     void eachTargetOf(std::size_t domain, Each each)
     {
         for (const auto &target : m_targets) {
-            if (target && domainOf(target->id()) == domain)
+            if (target && OperatedStore::domainOf(target->id()) == domain)
                 each(*target);
         }
     }
 
-    [[nodiscard]] static std::string nameOf(std::uint64_t id)
-    {
-        constexpr std::string_view digits = "0123456789abcdef";
-        std::string hex;
-        for (int shift = 28; shift >= 0; shift -= 4)
-            hex += digits[(id >> shift) & 0xf];
-        return "i-" + hex;
-    }
-
-    [[nodiscard]] static std::string pathOf(std::uint64_t id)
-    {
-        return "/baobabtrail/objects/servers/" + nameOf(id);
-    }
-
-    [[nodiscard]] std::string bodyOf(const Target &target, const std::string &state) const
-    {
-        return boost::json::serialize(
-            boost::json::object{{"meta", {{"name", nameOf(target.id())}}},
-                                {"spec",
-                                 {{"service", target.service()},
-                                  {"address", toString(target.address())},
-                                  {"zone", nameOfDomain(domainOf(target.id()))},
-                                  {"version", "v1"},
-                                  {"slots", 2},
-                                  {"state", state},
-                                  {"warmup_left_ms", coldFor.count()},
-                                  {"seq", 1}}}});
-    }
-
-    void create(const Target &target)
-    {
-        post("/baobabtrail/objects/servers", bodyOf(target, "ready"));
-    }
-
-    void put(const std::string &path, const std::string &body)
-    {
-        test::callHttp(boost::beast::http::verb::put, storePort(), path, body);
-    }
-    void post(const std::string &path, const std::string &body)
-    {
-        test::callHttp(boost::beast::http::verb::post, storePort(), path, body);
-    }
-
     void get(const Endpoint &server, const std::string &path, HttpClient::Handler done)
     {
         HttpCall call;
@@ -472,7 +385,7 @@
 
     boost::asio::io_context m_context;
     test::TemporaryDirectory m_directory;
-    test::Process m_store{"standin-platform", {}};
+    OperatedStore m_store;
     test::Ports m_ports;
     std::size_t m_roots;
     HttpClient m_http{m_context};
@@ -486,7 +399,6 @@
     std::set<int> m_routes{0, 1};
     std::map<int, Clock::time_point> m_removedAt;
     std::map<std::size_t, std::chrono::milliseconds> m_evacuated; ///< Domains, with their bounds.
-    std::uint64_t m_version = 0;
     std::uint64_t m_lastTarget = 0;
     std::set<std::uint64_t> m_lapsed; ///< Targets whose registrations are missing.
     std::optional<Clock::time_point> m_lastCrash;
