Soak: a page of metrics that comes late is not written to what is gone

Found by looking for late timers: `World::metricsOf` waits for 2 s by the clock and hands the answer's handler a reference to its own string. Where the process stands still for that long, the wait ends first and the handler writes to a string that is gone.

Change: the handler shares the page.

--- a/standins/direct/world.h
+++ b/standins/direct/world.h
@@ -250,13 +250,14 @@
     /// \return A metrics page of a daemon; empty where it gives none in time.
     [[nodiscard]] std::string metricsOf(std::size_t index)
     {
-        std::string page;
-        get(administrationOf(index), "/metrics", [&page](const HttpResult &result) {
-            if (const auto *response = std::get_if<HttpClientResponse>(&result))
-                page = response->body();
+        // Shared: where this process stands still, the answer comes after the wait for it.
+        const auto page = std::make_shared<std::optional<std::string>>();
+        get(administrationOf(index), "/metrics", [page](const HttpResult &result) {
+            const auto *response = std::get_if<HttpClientResponse>(&result);
+            *page = response ? response->body() : "";
         });
-        (void)runUntil([&] { return !page.empty(); }, std::chrono::seconds{2});
-        return page;
+        (void)runUntil([&] { return page->has_value(); }, std::chrono::seconds{2});
+        return page->value_or("");
     }
 
 private:
