--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -9,6 +9,7 @@
 #include "command_line.h"
 #include "core/random.h"
 #include "soak/soak_logs.h"
+#include "soak/store_stalls.h"
 #include "soak/verdict.h"
 
 #include <boost/random/uniform_int_distribution.hpp>
@@ -22,6 +23,9 @@
 DEFINE_uint32(targets, 10, "targets at the start");
 DEFINE_uint32(callers, 16, "callers, each with a feed");
 DEFINE_uint32(large_changes, 8, "one in so many steps is a large change of the configuration");
+DEFINE_uint32(store_stalls, 0,
+              "milliseconds for which the store's process stands still again and again amid the "
+              "faults; 0 for never");
 DEFINE_bool(verbose, false, "print each fault, and what the daemons print");
 DEFINE_string(keep, BAOBABTRAIL_BINARY_DIR "/soak",
               "directory for the logs of seeds that find something");
@@ -31,6 +35,7 @@
 using namespace baobabtrail;
 using namespace baobabtrail::standins;
 using baobabtrail::soak::SoakLogs;
+using baobabtrail::soak::StoreStalls;
 using baobabtrail::soak::Verdict;
 using namespace std::chrono_literals;
 
@@ -58,6 +63,18 @@
     std::vector<std::string> run()
     {
         begin();
+        strike();
+        heal();
+        m_verdict.judgeTraffic();
+        return m_verdict.findings();
+    }
+
+private:
+    void strike()
+    {
+        std::optional<StoreStalls> stalls;
+        if (FLAGS_store_stalls > 0)
+            stalls.emplace(m_world, std::chrono::milliseconds{FLAGS_store_stalls});
         const auto end = World::Clock::now() + std::chrono::seconds{FLAGS_seconds};
         while (World::Clock::now() < end) {
             // In series and overlapping: the next one often comes before the last is over.
@@ -67,12 +84,8 @@
             askSome();
             m_world.run(std::chrono::milliseconds{draw(20, 700)});
         }
-        heal();
-        m_verdict.judgeTraffic();
-        return m_verdict.findings();
     }
 
-private:
     int draw(int least, int most)
     {
         return boost::random::uniform_int_distribution<int>{least, most}(m_random);
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -12,5 +12,6 @@
 
 run_suite release
 run_suite sanitize
-# A short run of the fault soak; docs/FAULTS.md says how to run it long.
+# Short runs of the fault soak; docs/FAULTS.md says how to run it long.
 build/release/bench-soak --seed 1 --seconds 5
+build/release/bench-soak --seed 30102 --seconds 5 --store_stalls 300
--- a/standins/direct/operated_store.h
+++ b/standins/direct/operated_store.h
@@ -35,6 +35,8 @@
 
     void setSwitches(const std::string &json) const { put("/control/switches", json); }
     void compact() const { call(Verb::post, "/control/compact"); }
+    /// \brief Signals its process.
+    void signal(int number) const { m_process.send(number); }
 
     // Operators.
 
--- a/standins/direct/world.h
+++ b/standins/direct/world.h
@@ -123,6 +123,7 @@
 
     void setSwitches(const std::string &json) { m_store.setSwitches(json); }
     void compact() { m_store.compact(); }
+    void signalStore(int number) const { m_store.signal(number); }
 
     /// \brief Adds or removes the route of a number; route 0 is always there.
     void setRoute(int number, bool there)
