--- a/src/core/direct/direct_router.h
+++ b/src/core/direct/direct_router.h
@@ -176,7 +176,7 @@
     /// \brief The outcome of a probe; to be told once for each.
     void probed(const ProbeRequest &probe, ProbeOutcome outcome, TimePoint now);
 
-    /// \brief Forgets idle flows and departed targets; to be called about once a second.
+    /// \brief Forgets idle flows and, by the store's word, departed targets; about once a second.
     void expire(TimePoint now, const StoreWord &store);
 
     [[nodiscard]] std::size_t flows() const noexcept { return m_flows.size(); }
