--- a/tests/support/fake_directory_store.h
+++ b/tests/support/fake_directory_store.h
@@ -141,6 +141,10 @@
 
     void serve(int caller, const PlatformRequest &request, const Done &done)
     {
+        if (down) {
+            done(PlatformFailure{"cut off"});
+            return;
+        }
         if (const auto *list = std::get_if<ListObjects>(&request)) {
             const bool old = list->mayBeOld && m_lags;
             ObjectList out;
