--- a/bench/soak/soak_logs.h
+++ b/bench/soak/soak_logs.h
@@ -15,7 +15,7 @@
 using standins::TargetLog;
 using standins::TargetRun;
 
-/// \return Milliseconds since the epoch, as the daemons' logs are compared with.
+/// \return Milliseconds since the epoch, as in every file beside the daemons' logs.
 [[nodiscard]] inline std::int64_t unixMillis(std::chrono::system_clock::time_point time)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
