Take back the third mend of lapses: it delays what follows a lost domain

Cause, read and not traced: daemons that lose their sources with the domain begin to ask the store, which then counts as a return; they tell their followers, and the lost targets count as lapsed for longer, so that their open flows are ended later.

--- a/src/core/directory/collection_copy.cpp
+++ b/src/core/directory/collection_copy.cpp
@@ -16,10 +16,6 @@
 /// Old values that are kept for patches, in bytes: two of the largest that the store holds. A
 /// follower that lags further gets the whole value.
 constexpr std::size_t MostOldBytes = 2 << 20;
-/// Without a word of the store for longer, an outage may have passed unseen: a daemon that loses
-/// its source asks the store for itself, and finds it well again. Above the age at which a copy is
-/// stale, which a change of sources may take.
-constexpr Duration LongestSilence = 2500ms;
 
 } // namespace
 
@@ -172,14 +168,9 @@
     m_confirmedAt = std::max(m_confirmedAt.value_or(when), when);
 }
 
-bool CollectionCopy::wasSilent(TimePoint until) const noexcept
-{
-    return m_confirmedAt && until - *m_confirmedAt > LongestSilence;
-}
-
 void CollectionCopy::reached(TimePoint when) noexcept
 {
-    if (std::exchange(m_interruptedAt, std::nullopt) || wasSilent(when))
+    if (std::exchange(m_interruptedAt, std::nullopt))
         m_returnedAt = when;
 }
 
@@ -187,9 +178,6 @@
 {
     if (m_interruptedAt && *m_interruptedAt < asOf)
         m_interruptedAt.reset();
-    // The other daemon may have started since the store came back.
-    if (!returned && wasSilent(asOf))
-        returned = asOf;
     if (returned)
         m_returnedAt = std::max(m_returnedAt.value_or(*returned), *returned);
 }
--- a/src/core/directory/collection_copy.h
+++ b/src/core/directory/collection_copy.h
@@ -97,9 +97,6 @@
     }
 
 private:
-    /// \return Whether nothing was heard of the store for so long that it may have been away.
-    [[nodiscard]] bool wasSilent(TimePoint until) const noexcept;
-
     struct Step
     {
         ObjectVersion version;
--- a/src/core/directory/store_feed.cpp
+++ b/src/core/directory/store_feed.cpp
@@ -56,7 +56,6 @@
     m_running = true;
     m_seldom = seldom;
     m_confirms = true;
-    m_copy.interrupted(m_ports.now()); // Nobody has asked before: it may have been away.
     if (m_copy.complete())
         watch();
     else
