Interfaces of usage reports, spill, reservations and admission

Cause: a daemon decides on its own counts, a twelfth or thirtieth of its domain's load (docs/design/hard-load.md), so it neither spills nor puts the urgent first.

Change: the router counts its work in flight by service, failure domain of the targets and priority (UsageCounter); PlacementPlanner turns the usage of all daemons into a plan a service; DirectTargets::choose follows it. The decisions themselves (spillShares, reservationFor) are empty: without a plan each choice is the one made before. A flow whose caller sends again counts no longer as work, as a silent target is no busy one.

--- a/src/core/direct/direct_node.cpp
+++ b/src/core/direct/direct_node.cpp
@@ -205,6 +205,16 @@
     m_relay.handle(question, std::move(reply));
 }
 
+UsageTable DirectNode::takeUsage()
+{
+    return m_router.takeUsage(m_callbacks.feed.now());
+}
+
+void DirectNode::applyUsage(const UsageView *view)
+{
+    m_router.applyUsage(view, m_callbacks.feed.now());
+}
+
 void DirectNode::stopHolding()
 {
     m_router.stopHolding(m_callbacks.feed.now());
--- a/src/core/direct/direct_node.h
+++ b/src/core/direct/direct_node.h
@@ -157,6 +157,11 @@
     /// \param reply Called once, immediately or later.
     void handle(const PeerQuery &question, ViewRelay::Reply reply);
 
+    /// \return This daemon's usage since the last call. \see DirectRouter::takeUsage
+    [[nodiscard]] UsageTable takeUsage();
+    /// \brief Places new flows by the usage of all daemons. \see DirectRouter::applyUsage
+    void applyUsage(const UsageView *view);
+
     /// \brief Forwards all held requests and holds none from now on; to be called before the
     /// process ends.
     void stopHolding();
--- a/src/core/direct/direct_router.cpp
+++ b/src/core/direct/direct_router.cpp
@@ -37,8 +37,10 @@
     : m_settings(settings)
     , m_random(random)
     , m_observer(std::move(observer))
-    , m_targets(std::move(domain), settings)
+    , m_targets(domain, settings)
     , m_gate(settings.overload)
+    , m_usage(domain)
+    , m_planner(std::move(domain), settings.placement)
 {
 }
 
@@ -106,6 +108,7 @@
 
 SegmentVerdict DirectRouter::route(const Segment &segment, TimePoint now)
 {
+    m_usage.advance(now);
     const SegmentVerdict verdict = segment.opens ? open(segment, now) : forward(segment, now);
     if (m_gate.held() > 0)
         serveHeldAfter(segment, now);
@@ -168,9 +171,10 @@
         release(known->first, flow);
         m_flows.erase(known);
     }
-    DirectTarget *target = m_targets.choose(service, except, now, m_random);
+    const std::uint32_t priority = route->policy.priority;
+    DirectTarget *target = m_targets.choose({service, priority, except}, now, m_random);
     if (!target && !except.isNull())
-        target = m_targets.choose(service, {}, now, m_random);
+        target = m_targets.choose({service, priority}, now, m_random);
     if (!target)
         return refuse(segment, SegmentCause::NoTarget, service);
     const bool moved = !except.isNull() && target->entry.id != except;
@@ -191,6 +195,7 @@
         flow.openedAt = now;
         flow.seenAt = now;
         ++target.opening;
+        beginWork(segment.flow, flow, target, true);
     }
     return deliver(target, segment, service, cause);
 }
@@ -231,6 +236,7 @@
             flow.target = named->entry.id;
             flow.incarnation = named->incarnation;
             ++named->opening;
+            beginWork(segment.flow, flow, *named, true);
         }
         if (DirectTarget *target = targetOf(flow)) {
             acknowledged(flow, *target, segment, now);
@@ -253,6 +259,7 @@
             // The flow was lost when the target restarted, and the new process resets it itself. It
             // is no load there, and its segments are no evidence of the target's health.
             dropHeld(known->first, flow);
+            endWork(flow);
             flow.state = FlowState::Closing;
             flow.seenAt = now;
             return deliver(*restarted, segment, flow.service, SegmentCause::Forwarded);
@@ -312,6 +319,7 @@
         flow.end = end;
         flow.lastByteAt = now;
         if (!flow.requested && flow.state == FlowState::Open) {
+            beginWork(segment.flow, flow, target, !flow.hadRequest);
             flow.requested = true;
             flow.hadRequest = true;
             flow.sentAt = now;
@@ -335,6 +343,8 @@
     m_targets.answered(target, took, now);
     updateWindow(flow, target, took, segment, now);
     measured(FlowTime::Answer, took, average, segment, flow, target);
+    if (flow.work)
+        m_usage.answered(*flow.work, took);
     endRequest(flow, target);
 }
 
@@ -350,6 +360,7 @@
     flow.state = FlowState::Open;
     flow.establishedAt = now;
     target.opening -= target.opening > 0 ? 1 : 0;
+    endWork(flow);
     ++target.openFlows;
     heard(flow, target, now);
     measured(FlowTime::Open, now - flow.openedAt, Duration{0}, segment, flow, target);
@@ -369,6 +380,9 @@
         ++flow.retransmits;
     if (flow.retransmits > 1)
         return;
+    // A silent target is no busy one: with its unanswered requests the targets that are left would
+    // look full for seconds.
+    endWork(flow);
     if (m_targets.unanswered(target, now) && m_observer.stateChanged)
         m_observer.stateChanged({target, m_targets.state(target)});
     requestProbe(target);
@@ -379,13 +393,44 @@
     if (!flow.requested)
         return;
     flow.requested = false;
+    endWork(flow);
     target.inFlight -= target.inFlight > 0 ? 1 : 0;
     m_gate.ended(target.entry.id, flow.sentAt);
 }
 
+void DirectRouter::beginWork(const FlowKey &key, Flow &flow, const DirectTarget &target,
+                             bool movable)
+{
+    endWork(flow);
+    flow.work = m_usage.partOf(flow.service, target.entry.domain, promiseOf(key).priority);
+    flow.movable = movable;
+    m_usage.began(*flow.work, movable);
+}
+
+void DirectRouter::endWork(Flow &flow)
+{
+    if (const auto work = std::exchange(flow.work, std::nullopt))
+        m_usage.ended(*work, flow.movable);
+}
+
+UsageTable DirectRouter::takeUsage(TimePoint now)
+{
+    m_usage.advance(now);
+    return m_usage.take();
+}
+
+void DirectRouter::applyUsage(const UsageView *view, TimePoint now)
+{
+    m_planner.update(view, m_targets, now, [this](const PlanChange &change) {
+        if (m_observer.planChanged)
+            m_observer.planChanged(change);
+    });
+}
+
 void DirectRouter::release(const FlowKey &key, Flow &flow)
 {
     dropHeld(key, flow);
+    endWork(flow);
     DirectTarget *target = targetOf(flow);
     if (!target)
         return;
@@ -398,6 +443,7 @@
 
 void DirectRouter::expire(TimePoint now, const StoreStatus &store)
 {
+    m_usage.advance(now);
     const Duration idle
         = m_routes->idleTimeout > Duration{0} ? m_routes->idleTimeout : m_settings.idleTimeout;
     for (auto it = m_flows.begin(); it != m_flows.end();) {
@@ -405,6 +451,7 @@
         const Duration silent = now - flow.seenAt;
         const Duration timeout = flow.requested ? promiseOf(it->first).timeout : Duration{0};
         if (flow.requested && silent >= (timeout > Duration{0} ? timeout : MaxRequestTime)) {
+            endWork(flow);
             if (DirectTarget *target = targetOf(flow))
                 endRequest(flow, *target);
         }
--- a/src/core/direct/direct_router.h
+++ b/src/core/direct/direct_router.h
@@ -5,7 +5,9 @@
 #include "core/direct/segment.h"
 #include "core/directory/directory.h"
 #include "core/overload/request_gate.h"
+#include "core/placement/placement_planner.h"
 #include "core/random.h"
+#include "core/usage/usage_counter.h"
 
 #include <boost/unordered/unordered_flat_map.hpp>
 
@@ -125,6 +127,7 @@
     std::function<void(const TargetStateChange &)> stateChanged;
     std::function<void(const SaturationChange &)> saturated;
     std::function<void(const FlowMeasurement &)> measured;
+    std::function<void(const PlanChange &)> planChanged;
 };
 
 /// \brief Places flows whose targets answer their callers directly (direct server return), and
@@ -185,10 +188,17 @@
     /// \param store Decides when a lapsed target counts as gone.
     void expire(TimePoint now, const StoreStatus &store);
 
+    /// \return This daemon's usage since the last call; to be called a few times a second.
+    [[nodiscard]] UsageTable takeUsage(TimePoint now);
+    /// \brief Places new flows by the usage of all daemons from now on.
+    /// \param view Null where it is unknown or too old.
+    void applyUsage(const UsageView *view, TimePoint now);
+
     [[nodiscard]] std::size_t flows() const noexcept { return m_flows.size(); }
     [[nodiscard]] const DirectTargets &targets() const noexcept { return m_targets; }
     [[nodiscard]] const RouteTable &routes() const noexcept { return *m_routes; }
     [[nodiscard]] const RequestGate &gate() const noexcept { return m_gate; }
+    [[nodiscard]] const PlacementPlanner &planner() const noexcept { return m_planner; }
 
 private:
     enum class FlowState { Opening, Open, Closing };
@@ -212,6 +222,8 @@
         TimePoint lastByteAt{};       ///< When the newest byte was forwarded.
         TimePoint sentAt{};           ///< When the request in flight was forwarded.
         TimePoint seenAt{};
+        std::optional<UsageCounter::Part> work; ///< Where its opening or request is counted.
+        bool movable = false;                   ///< How that is counted. \see Usage
     };
 
     [[nodiscard]] SegmentVerdict open(const Segment &segment, TimePoint now);
@@ -251,6 +263,9 @@
     /// \brief Probes the targets of a failure domain that have not responded recently.
     void sweep(const std::string &domain, TimePoint now);
     void reprobeFailed(TimePoint now);
+    /// \brief Counts the opening or the request of the flow as work of its target.
+    void beginWork(const FlowKey &key, Flow &flow, const DirectTarget &target, bool movable);
+    void endWork(Flow &flow);
     void release(const FlowKey &key, Flow &flow);
     [[nodiscard]] DirectTarget *targetOf(const Flow &flow);
     void endRequest(Flow &flow, DirectTarget &target);
@@ -262,6 +277,8 @@
     DirectObserver m_observer;
     DirectTargets m_targets;
     RequestGate m_gate;
+    UsageCounter m_usage;
+    PlacementPlanner m_planner;
     ProbeScheduler m_probes;
     bool m_probing = false;
     std::vector<HeldRequestOutcome> m_heldOutcomes;
--- a/src/core/direct/direct_router_held.cpp
+++ b/src/core/direct/direct_router_held.cpp
@@ -56,6 +56,7 @@
 
 void DirectRouter::serveHeld(TimePoint now)
 {
+    m_usage.advance(now);
     for (const TargetId id : m_gate.targetsWithHeldRequests()) {
         DirectTarget *target = m_targets.find(id);
         const bool silent = !target || target->goneAt || m_targets.isSuspect(*target);
@@ -80,6 +81,7 @@
 
 void DirectRouter::stopHolding(TimePoint now)
 {
+    m_usage.advance(now);
     m_gate.stopHolding();
     for (const TargetId target : m_gate.targetsWithHeldRequests()) {
         while (const auto request = m_gate.takeAny(target, now))
@@ -89,6 +91,7 @@
 
 void DirectRouter::cancelHold(const FlowKey &key, TimePoint now)
 {
+    m_usage.advance(now);
     const auto known = m_flows.find(key);
     if (known == m_flows.end() || !m_gate.erase(known->second.target, key))
         return;
@@ -107,6 +110,7 @@
     DirectTarget *target = targetOf(flow);
     if (!target)
         return;
+    beginWork(request.flow, flow, *target, !flow.hadRequest);
     flow.requested = true;
     flow.hadRequest = true;
     flow.sentAt = now;
--- a/src/core/direct/direct_targets.cpp
+++ b/src/core/direct/direct_targets.cpp
@@ -254,17 +254,6 @@
     return (work + 1.0) / slots * slowness;
 }
 
-// A lapsed registration is no sign of a failure. When the first target re-registers after an
-// outage, it would otherwise be the only candidate: all daemons would send it all their new flows,
-// far beyond its capacity.
-std::vector<DirectTarget *> &DirectTargets::eligible(Candidates &candidates) const
-{
-    std::vector<DirectTarget *> &known = candidates.known;
-    if (has(Mechanism::LapsedAlike) && candidates.lapsed.size() > known.size())
-        known.insert(known.end(), candidates.lapsed.begin(), candidates.lapsed.end());
-    return known;
-}
-
 DirectTarget *DirectTargets::leastLoaded(const std::vector<DirectTarget *> &among, TimePoint now,
                                          Random &random) const
 {
@@ -290,18 +279,17 @@
     return best;
 }
 
-DirectTarget *DirectTargets::choose(ServiceId service, TargetId except, TimePoint now,
-                                    Random &random)
+void DirectTargets::collectCandidates(const FlowRequest &request, TimePoint now)
 {
-    const auto found = m_services.find(service);
-    if (found == m_services.end())
-        return nullptr;
     m_sameDomain.clear();
     m_otherDomains.clear();
     m_lastResort.clear();
+    const auto found = m_services.find(request.service);
+    if (found == m_services.end())
+        return;
     for (const TargetId id : found->second) {
         DirectTarget &target = m_targets.at(id);
-        if (id == except || !admits(target, now))
+        if (id == request.except || !admits(target, now))
             continue;
         Candidates &candidates
             = target.local || !has(Mechanism::OwnDomainFirst) ? m_sameDomain : m_otherDomains;
@@ -315,17 +303,41 @@
         if (last)
             m_lastResort.push_back(&target);
     }
-    DirectTarget *near = leastLoaded(eligible(m_sameDomain), now, random);
+    for (Candidates *candidates : {&m_sameDomain, &m_otherDomains}) {
+        addLapsed(*candidates);
+        applyReservations(request, candidates->known);
+    }
+}
+
+// A lapsed registration is no sign of a failure. When the first target re-registers after an
+// outage, it would otherwise be the only candidate: all daemons would send it all their new flows,
+// far beyond its capacity.
+void DirectTargets::addLapsed(Candidates &candidates) const
+{
+    std::vector<DirectTarget *> &known = candidates.known;
+    if (has(Mechanism::LapsedAlike) && candidates.lapsed.size() > known.size())
+        known.insert(known.end(), candidates.lapsed.begin(), candidates.lapsed.end());
+}
+
+DirectTarget *DirectTargets::chooseByOwnCounts(TimePoint now, Random &random)
+{
+    DirectTarget *near = leastLoaded(m_sameDomain.known, now, random);
     const auto busy = [this](const DirectTarget &target) {
         const double slots = std::max<std::uint32_t>(target.entry.slots, 1);
         return target.load() / slots > m_settings.spillAbove;
     };
-    DirectTarget *best = near;
-    if (!near || busy(*near)) {
-        DirectTarget *far = leastLoaded(eligible(m_otherDomains), now, random);
-        if (far && (!near || far->load() < near->load()))
-            best = far;
-    }
+    if (near && !busy(*near))
+        return near;
+    DirectTarget *far = leastLoaded(m_otherDomains.known, now, random);
+    return far && (!near || far->load() < near->load()) ? far : near;
+}
+
+DirectTarget *DirectTargets::choose(const FlowRequest &request, TimePoint now, Random &random)
+{
+    collectCandidates(request, now);
+    DirectTarget *best = chooseByShares(request.service, now, random);
+    if (!best)
+        best = chooseByOwnCounts(now, random);
     // Where no target seems to answer, a fault of this daemon or its network is more likely.
     if (!best)
         best = leastLoaded(m_lastResort, now, random);
--- a/src/core/direct/direct_targets.h
+++ b/src/core/direct/direct_targets.h
@@ -6,6 +6,8 @@
 #include "core/direct/probe_scheduler.h"
 #include "core/directory/directory.h"
 #include "core/overload/overload_settings.h"
+#include "core/placement/placement_settings.h"
+#include "core/placement/service_plan.h"
 #include "core/random.h"
 
 #include <boost/unordered/unordered_flat_map.hpp>
@@ -57,6 +59,7 @@
     /// second, and an answer takes some 25 to 60 ms.
     double openFlowWeight = 0.04;
     OverloadSettings overload{};
+    PlacementSettings placement{};
     Mechanisms mechanisms{}; ///< All but those that an experiment disables.
 };
 
@@ -74,6 +77,7 @@
     bool local = false;     ///< In the failure domain of this daemon.
     bool evacuated = false; ///< Its failure domain is evacuated.
     bool refused = false;   ///< A newer registration than \a entry is unreadable.
+    bool reserved = false;  ///< For urgent requests only. \see Reservation
     /// Counts the restarts under this id that were seen; a flow belongs to one incarnation.
     std::uint32_t incarnation = 0;
     TimePoint coldUntil{}; ///< Opens at a limited rate until then. \see WarmUpLimit
@@ -103,6 +107,14 @@
     TimePoint answeredAt{};
 };
 
+/// \brief A new flow that needs a target.
+struct FlowRequest
+{
+    ServiceId service;
+    std::uint32_t priority = RequestPolicy::LowestPriority; ///< Of its route.
+    TargetId except{}; ///< Target that the flow moves away from; null id for none.
+};
+
 /// \brief All targets in the directory: their states, and the choice of one for a new flow.
 class DirectTargets
 {
@@ -161,11 +173,22 @@
     }
 
     /// \brief Chooses the target of a new flow: the least loaded healthy one of the local failure
-    /// domain, else one of another domain, else a suspect or lapsed one.
-    /// \param except Target that the flow moves away from; null id for none.
+    /// domain, else one of another domain, else a suspect or lapsed one. A plan may name another
+    /// domain to begin with. \see ServicePlan
     /// \return The target, or null where the service has none that takes flows.
-    [[nodiscard]] DirectTarget *choose(ServiceId service, TargetId except, TimePoint now,
-                                       Random &random);
+    [[nodiscard]] DirectTarget *choose(const FlowRequest &request, TimePoint now, Random &random);
+
+    /// \brief Replaces all plans. \return The former ones.
+    std::map<ServiceId, ServicePlan> setPlans(std::map<ServiceId, ServicePlan> plans,
+                                              TimePoint now);
+    /// \return The plan of the service; an empty one where it has none.
+    [[nodiscard]] const ServicePlan &planOf(ServiceId service) const noexcept;
+    /// \return Slots of the service's targets that take new flows, by failure domain.
+    [[nodiscard]] std::map<std::string, double> slotsByDomain(ServiceId service,
+                                                              TimePoint now) const;
+    /// \return Number of the service's targets in the failure domain that take new flows.
+    [[nodiscard]] std::size_t countTakingFlows(ServiceId service, const std::string &domain,
+                                               TimePoint now) const;
 
     [[nodiscard]] DirectTargetState state(const DirectTarget &target) const noexcept;
     /// \return Whether it gives no answers, also where state() names another state, such as
@@ -214,6 +237,19 @@
     [[nodiscard]] double cost(const DirectTarget &target, double averageMicros,
                               TimePoint now) const noexcept;
     [[nodiscard]] double averageAnswer(const std::vector<DirectTarget *> &among) const noexcept;
+    /// \brief Sorts the service's targets into the candidates for a new flow.
+    void collectCandidates(const FlowRequest &request, TimePoint now);
+    /// \brief Marks the targets that the plan reserves, the same ones at all daemons.
+    void markReserved(ServiceId service, const ServicePlan &plan, TimePoint now);
+    /// \brief Keeps the reserved targets for the requests of their priority, as long as that
+    /// leaves a target.
+    void applyReservations(const FlowRequest &request, std::vector<DirectTarget *> &among) const;
+    /// \return The least loaded target of the failure domain that the plan draws; null where it
+    /// draws none, or one without a target.
+    [[nodiscard]] DirectTarget *chooseByShares(ServiceId service, TimePoint now, Random &random);
+    /// \return The least loaded target of the local failure domain, or of another one where this
+    /// daemon alone keeps the local one busy.
+    [[nodiscard]] DirectTarget *chooseByOwnCounts(TimePoint now, Random &random);
     /// \brief Targets of the local failure domain, or of all others, that may get a new flow.
     struct Candidates
     {
@@ -227,8 +263,8 @@
         }
     };
 
-    /// \return The targets from which to choose.
-    [[nodiscard]] std::vector<DirectTarget *> &eligible(Candidates &candidates) const;
+    /// \brief Adds the lapsed targets to the known ones while they are the majority.
+    void addLapsed(Candidates &candidates) const;
     [[nodiscard]] DirectTarget *leastLoaded(const std::vector<DirectTarget *> &among, TimePoint now,
                                             Random &random) const;
 
@@ -238,6 +274,7 @@
     ColdTargetLimiter m_cold;
     std::map<ServiceId, WarmUpLimit> m_coldLimits;
     std::map<std::string, TimePoint> m_evacuated; ///< By failure domain.
+    std::map<ServiceId, ServicePlan> m_plans;     ///< None of them empty.
     std::unordered_map<TargetId, DirectTarget> m_targets;
     std::unordered_map<ServiceId, std::vector<TargetId>> m_services;
     Candidates m_sameDomain; ///< Reused by each choose(), to save allocations.
--- /dev/null
+++ b/src/core/direct/direct_targets_plan.cpp
@@ -0,0 +1,120 @@
+/// \file
+/// \brief How DirectTargets follows the plans that were decided from the usage of all daemons.
+
+#include "core/direct/direct_targets.h"
+#include "core/impl/hash.h"
+
+#include <boost/random/uniform_01.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace baobabtrail {
+
+std::map<ServiceId, ServicePlan> DirectTargets::setPlans(std::map<ServiceId, ServicePlan> plans,
+                                                         TimePoint now)
+{
+    std::swap(m_plans, plans);
+    for (auto &[id, target] : m_targets)
+        target.reserved = false;
+    for (const auto &[service, plan] : m_plans)
+        markReserved(service, plan, now);
+    return plans;
+}
+
+const ServicePlan &DirectTargets::planOf(ServiceId service) const noexcept
+{
+    static const ServicePlan none;
+    const auto found = m_plans.find(service);
+    return found == m_plans.end() ? none : found->second;
+}
+
+std::map<std::string, double> DirectTargets::slotsByDomain(ServiceId service, TimePoint now) const
+{
+    std::map<std::string, double> out;
+    const auto found = m_services.find(service);
+    if (found == m_services.end())
+        return out;
+    for (const TargetId id : found->second) {
+        const DirectTarget &target = m_targets.at(id);
+        if (takesFlows(target, now))
+            out[target.entry.domain] += std::max<std::uint32_t>(target.entry.slots, 1);
+    }
+    return out;
+}
+
+std::size_t DirectTargets::countTakingFlows(ServiceId service, const std::string &domain,
+                                            TimePoint now) const
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end())
+        return 0;
+    const auto counts = [&](TargetId id) {
+        const DirectTarget &target = m_targets.at(id);
+        return target.entry.domain == domain && takesFlows(target, now);
+    };
+    return static_cast<std::size_t>(
+        std::count_if(found->second.begin(), found->second.end(), counts));
+}
+
+// The order comes from the ids alone, so that daemons whose counts differ a little reserve the same
+// targets but for the last ones.
+void DirectTargets::markReserved(ServiceId service, const ServicePlan &plan, TimePoint now)
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end())
+        return;
+    std::map<std::string, std::vector<std::pair<std::uint64_t, DirectTarget *>>> ordered;
+    for (const TargetId id : found->second) {
+        DirectTarget &target = m_targets.at(id);
+        if (plan.reservations.contains(target.entry.domain) && takesFlows(target, now))
+            ordered[target.entry.domain].emplace_back(impl::hashPair(id.value(), service.value()),
+                                                      &target);
+    }
+    for (auto &[domain, targets] : ordered) {
+        std::sort(targets.begin(), targets.end());
+        const std::size_t count = std::min(plan.reservations.at(domain).targets, targets.size());
+        for (std::size_t index = 0; index < count; ++index)
+            targets[index].second->reserved = true;
+    }
+}
+
+void DirectTargets::applyReservations(const FlowRequest &request,
+                                      std::vector<DirectTarget *> &among) const
+{
+    const ServicePlan &plan = planOf(request.service);
+    if (plan.reservations.empty())
+        return;
+    const auto isMeant = [&](const DirectTarget *target) {
+        const auto found = plan.reservations.find(target->entry.domain);
+        if (found == plan.reservations.end())
+            return true;
+        return target->reserved == (request.priority <= found->second.priority);
+    };
+    if (std::any_of(among.begin(), among.end(), isMeant))
+        std::erase_if(among, [&](const DirectTarget *target) { return !isMeant(target); });
+}
+
+DirectTarget *DirectTargets::chooseByShares(ServiceId service, TimePoint now, Random &random)
+{
+    const ServicePlan &plan = planOf(service);
+    if (!plan.spills())
+        return nullptr;
+    double drawn = boost::random::uniform_01<double>{}(random);
+    for (const DomainShare &share : plan.shares) {
+        drawn -= share.share;
+        if (drawn >= 0)
+            continue;
+        if (share.domain == m_domain)
+            return leastLoaded(m_sameDomain.known, now, random);
+        std::vector<DirectTarget *> there;
+        for (DirectTarget *target : m_otherDomains.known) {
+            if (target->entry.domain == share.domain)
+                there.push_back(target);
+        }
+        return leastLoaded(there, now, random);
+    }
+    return nullptr;
+}
+
+} // namespace baobabtrail
--- a/src/core/direct/mechanisms.h
+++ b/src/core/direct/mechanisms.h
@@ -25,6 +25,9 @@
     HoldRequests,   ///< Requests on open flows are held while their target is saturated.
     NewestFirst,    ///< Of the held requests the newest goes first; else the oldest.
     Priorities,     ///< Of the held requests the most urgent goes first.
+    Spill,          ///< New flows go to other domains by the usage that all daemons report.
+    Reservations,   ///< Targets are reserved for urgent requests while a service is saturated.
+    Admission,      ///< New flows are refused while no target can serve them.
     Count,
 };
 
@@ -33,7 +36,7 @@
     MechanismNames{"ownDomainFirst", "slowness",    "slownessFades", "openFlowWeight",
                    "suspicion",      "probes",      "lapses",        "lapsedAlike",
                    "movedOpenings",  "waitForView", "holdRequests",  "newestFirst",
-                   "priorities"};
+                   "priorities",     "spill",       "reservations",  "admission"};
 
 /// \return The mechanism of that name, or nothing where the name is unknown.
 [[nodiscard]] constexpr std::optional<Mechanism> mechanismNamed(std::string_view name) noexcept
--- /dev/null
+++ b/src/core/placement/reservation.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "core/placement/placement_settings.h"
+#include "core/placement/service_load.h"
+#include "core/placement/service_plan.h"
+
+namespace baobabtrail {
+
+/// \brief Decides how many targets of a failure domain are reserved for urgent requests.
+///
+/// Load pattern: less urgent requests ask for more than all targets carry. Targets refuse whatever
+/// meets a full queue, urgent or not. On reserved targets urgent requests meet no others.
+///
+/// \param targets Targets of the domain that take new flows.
+/// \param before Reservation that was in force until now.
+/// \return The reservation; without targets where none is needed.
+[[nodiscard]] Reservation reservationFor(const DomainLoad &load, std::size_t targets,
+                                         const Reservation &before,
+                                         const PlacementSettings &settings);
+
+} // namespace baobabtrail
--- a/src/daemon/settings/settings_reader.cpp
+++ b/src/daemon/settings/settings_reader.cpp
@@ -240,6 +240,9 @@
     out.overload.hold = out.mechanisms.has(Mechanism::HoldRequests);
     out.overload.newestFirst = out.mechanisms.has(Mechanism::NewestFirst);
     out.overload.priorities = out.mechanisms.has(Mechanism::Priorities);
+    out.placement.spill = out.mechanisms.has(Mechanism::Spill);
+    out.placement.reserve = out.mechanisms.has(Mechanism::Reservations);
+    out.placement.admit = out.mechanisms.has(Mechanism::Admission);
 }
 
 void readDirectAddresses(ObjectReader &reader, DirectAddresses &out)
