show load, log events and metrics of spill, reservations and admission

Cause: operators could not see why a new flow went to another failure domain or was refused.

Change: baobabctl show load (load of all daemons by service and domain, and what follows), an event for each begin and end with the load that decided and its age, gauges by service and domain, two of them in top.

--- a/src/ctl/top.cpp
+++ b/src/ctl/top.cpp
@@ -12,12 +12,26 @@
 constexpr std::string_view Prefix = "baobabtrail_";
 /// Metrics of both kinds of daemon, with and without direct forwarding; a page has those of its
 /// kind.
-constexpr std::array<std::string_view, 18> Shown{
-    "config_revision", "config_age_seconds", "members_alive",          "owned_targets",
-    "requests_held",   "running_attempts",   "owned_imbalance",        "requests_total",
-    "flows_total",     "flow_resets_total",  "request_refusals_total", "ready",
-    "config_version",  "view_revision",      "view_age_seconds",       "flows",
-    "followers",       "segments_total"};
+constexpr std::array<std::string_view, 20> Shown{"config_revision",
+                                                 "config_age_seconds",
+                                                 "members_alive",
+                                                 "owned_targets",
+                                                 "requests_held",
+                                                 "running_attempts",
+                                                 "owned_imbalance",
+                                                 "requests_total",
+                                                 "flows_total",
+                                                 "flow_resets_total",
+                                                 "request_refusals_total",
+                                                 "ready",
+                                                 "config_version",
+                                                 "view_revision",
+                                                 "view_age_seconds",
+                                                 "flows",
+                                                 "followers",
+                                                 "segments_total",
+                                                 "domain_load",
+                                                 "domain_share"};
 constexpr std::size_t MaxTargets = 20;
 
 [[nodiscard]] bool isShown(std::string_view name)
--- a/src/daemon/direct/direct_daemon.cpp
+++ b/src/daemon/direct/direct_daemon.cpp
@@ -168,6 +168,10 @@
         = [this](const TargetStateChange &change) { m_log.write(change, *m_node, monotonicNow()); };
     callbacks.observer.saturated
         = [this](const SaturationChange &change) { m_log.write(change, *m_node, monotonicNow()); };
+    callbacks.observer.planChanged = [this](const PlanChange &change) {
+        m_metrics.planChanged(change, m_node->router().routes());
+        m_log.write(change, *m_node, monotonicNow());
+    };
     callbacks.observer.measured = [this](const FlowMeasurement &measured) {
         m_metrics.measured(measured, m_node->router().routes());
         m_log.write(measured, *m_node, monotonicNow());
--- a/src/daemon/direct/direct_log.h
+++ b/src/daemon/direct/direct_log.h
@@ -43,6 +43,9 @@
     void write(const FlowMeasurement &measured, const DirectNode &node, TimePoint now);
     void write(const TargetStateChange &change, const DirectNode &node, TimePoint now);
     void write(const SaturationChange &change, const DirectNode &node, TimePoint now);
+    /// \brief Logs what begins or ends in the placement of a service's new flows, an event for each
+    /// of spill, reservations and admission, with the load that decided.
+    void write(const PlanChange &change, const DirectNode &node, TimePoint now);
     void write(const NodeNotice &notice, TimePoint now);
 
     /// \brief Logs that a datagram was dropped because it is not a valid packet of a caller.
@@ -59,6 +62,9 @@
     void admit(Part part, std::string_view kind, TimePoint now,
                const std::function<LogEvent()> &make);
 
+    void writePlanEvent(std::string_view kind, bool begins, const PlanChange &change,
+                        const DirectNode &node, TimePoint now);
+
     /// \brief Logs the search for a source, if SourceSearch finds it worth an event.
     void writeSearch(const QueryReport &end, TimePoint now);
 
--- a/src/daemon/direct/direct_metrics.cpp
+++ b/src/daemon/direct/direct_metrics.cpp
@@ -58,6 +58,7 @@
     Exposition page;
     writeNode(page, node);
     writeTree(page, node, peers);
+    writeLoads(page, node);
     writeEvents(page, logLinesLeftOut);
     writeServices(page);
     writeSocket(page);
--- a/src/daemon/direct/direct_metrics.h
+++ b/src/daemon/direct/direct_metrics.h
@@ -53,6 +53,7 @@
     void decided(const SegmentDecision &decision, const RouteTable &routes);
     void measured(const FlowMeasurement &measured, const RouteTable &routes);
     void queryEnded(const PeerQueryEnded &queryEnded);
+    void planChanged(const PlanChange &change, const RouteTable &routes);
 
     /// \param peers Connections of other daemons.
     /// \param logLinesLeftOut Log events suppressed by the rate limit so far.
@@ -77,12 +78,15 @@
     {
         CounterArray<SegmentCauseNames.size()> causes{};
         std::array<DurationHistogram, FlowTimeNames.size()> times;
+        std::uint64_t planChanges = 0;
     };
 
     [[nodiscard]] Service &entryOf(ServiceId service, const RouteTable &routes);
     static void writeNode(Exposition &page, const DirectNode &node);
     static void writeDomains(Exposition &page, const DirectNode &node);
     static void writeOverload(Exposition &page, const DirectNode &node);
+    /// \brief Load by service and failure domain, and the plans that follow from it.
+    void writeLoads(Exposition &page, const DirectNode &node) const;
     void writeEvents(Exposition &page, std::uint64_t logLinesLeftOut) const;
     void writeServices(Exposition &page) const;
     void writePeerQueries(Exposition &page) const;
--- a/src/daemon/direct/direct_tables.cpp
+++ b/src/daemon/direct/direct_tables.cpp
@@ -1,6 +1,7 @@
 #include "daemon/direct/direct_tables.h"
 
 #include "daemon/direct/direct_metrics.h"
+#include "daemon/direct/load_table.h"
 #include "language/filter_rows.h"
 #include "language/parse.h"
 
@@ -223,6 +224,8 @@
         return distributionTable(backend);
     case language::Table::Domains:
         return domainsTable(backend);
+    case language::Table::Load:
+        return loadTable(backend);
     case language::Table::Changes:
         break;
     }
--- a/src/daemon/direct/direct_tables.h
+++ b/src/daemon/direct/direct_tables.h
@@ -30,6 +30,7 @@
 /// | show targets, show drains | targets with the inputs of target selection; only leaving ones |
 /// | show services | services with their routes and targets |
 /// | show daemons, show revision | this daemon and its view; the roots that it knows |
+/// | show load | services by failure domain: load of all daemons, and the plan that follows |
 /// | show distribution | each collection: its source, its age, and why it is old |
 /// | show metrics, help | |
 [[nodiscard]] language::Result executeDirect(const DirectBackend &backend, const std::string &text);
--- a/src/language/impl/queries.cpp
+++ b/src/language/impl/queries.cpp
@@ -24,6 +24,13 @@
         return drainsTable(backend);
     case Table::Domains:
         return domainsTable(backend);
+    case Table::Load:
+        return {
+            Status::Refused,
+            {"only daemons with direct forwarding report their load to each other; show targets "
+             "has the load of this daemon's targets"},
+            {},
+            {}};
     case Table::Distribution:
         return {Status::Refused,
                 {"only daemons with direct forwarding have their view from each other; ask for the "
--- a/src/language/parse.cpp
+++ b/src/language/parse.cpp
@@ -220,7 +220,7 @@
 const Words<Table> Tables{{"services", Table::Services}, {"targets", Table::Targets},
                           {"daemons", Table::Daemons},   {"changes", Table::Changes},
                           {"drains", Table::Drains},     {"distribution", Table::Distribution},
-                          {"domains", Table::Domains}};
+                          {"domains", Table::Domains},   {"load", Table::Load}};
 const Words<bool> Relations{{"=", false}, {"!=", true}};
 
 const x3::rule<struct ColumnRule, std::string> Column{"a column"};
@@ -240,8 +240,8 @@
 const auto TableWord_def = x3::lexeme[Tables >> !WordLetter];
 
 const x3::rule<struct ShowObjectRule, Statement> ShowObject{
-    "services, targets, daemons, domains, changes, drains, distribution, revision, change ID or "
-    "metrics"};
+    "services, targets, daemons, domains, load, changes, drains, distribution, revision, change ID "
+    "or metrics"};
 const auto ShowObject_def
     = (TableWord > Filters)[MakeOfTwo<Show>] | keyword("revision")[MakeEmpty<ShowRevision>]
       | keyword("metrics")[MakeEmpty<ShowMetrics>] | (keyword("change") > Text)[Make<ShowChange>];
@@ -336,6 +336,7 @@
   show targets | daemons | changes | drains [where ...]
   show domains             failure domains: which get no new work, and what is still open there
   show distribution        where the daemon has its routes and targets from, and how old they are
+  show load                load of services by failure domain, and how new flows are placed by it
   show revision            which revision is in force on which daemon
   show change ID           whether a change was accepted, and where it is in force
   show metrics
--- a/src/language/statement.h
+++ b/src/language/statement.h
@@ -10,7 +10,7 @@
 
 namespace baobabtrail::language {
 
-enum class Table { Services, Targets, Daemons, Changes, Drains, Distribution, Domains };
+enum class Table { Services, Targets, Daemons, Changes, Drains, Distribution, Domains, Load };
 
 /// \brief Condition on one column of a table: COLUMN = VALUE, or COLUMN != VALUE where negated.
 struct Filter
--- a/tests/explain/tables_test.cpp
+++ b/tests/explain/tables_test.cpp
@@ -100,6 +100,27 @@
     cr_assert(cell(after, 0, "targets") == cell(before, 0, "targets"));
 }
 
+// An operator sees what decides about spill and reservations, and that nothing does while the usage
+// is unknown.
+Test(directTables, showsTheLoadOfAllDaemons)
+{
+    DirectTablesFixture asked;
+    DirectNode &node = *asked.system.cluster.node(2);
+    cr_assert(asked.execute("show load").rows.empty());
+    UsageView view;
+    view.usage[{serviceId("x", "x"), "d2", "d1", 1}] = {0.5, 0.25, 0, 0};
+    view.usage[{serviceId("x", "x"), "d2", "d1", 2}] = {0.25, 0, 0, 0};
+    node.applyUsage(&view);
+    const Result load = asked.execute("show load where domain = d1");
+    cr_assert_eq(load.rows.size(), 1);
+    cr_assert(cell(load, 0, "service") == "x" && cell(load, 0, "in-flight") == "1.00");
+    cr_assert(cell(load, 0, "by-priority") == "1:0.75 2:0.25", "%s",
+              cell(load, 0, "by-priority").c_str());
+    cr_assert(cell(load, 0, "admitted") == "all" && cell(load, 0, "reserved") == "0");
+    node.applyUsage(nullptr);
+    cr_assert(asked.execute("show load").rows.empty());
+}
+
 // With direct forwarding, changes are made in the store. A daemon must refuse commands of the
 // operators' language and say so, instead of seeming to run them.
 Test(directTables, refusesCommandsAndSaysWhereTheyBelong)
--- a/tests/support/logged_cluster.h
+++ b/tests/support/logged_cluster.h
@@ -84,6 +84,9 @@
         callbacks.observer.saturated = [this, index, now](const SaturationChange &change) {
             m_logs[index]->write(change, *cluster.node(index), now());
         };
+        callbacks.observer.planChanged = [this, index, now](const PlanChange &change) {
+            m_logs[index]->write(change, *cluster.node(index), now());
+        };
         callbacks.observer.measured = [this, index, now](const FlowMeasurement &measured) {
             m_logs[index]->write(measured, *cluster.node(index), now());
         };
