Daemons tell each other how much work they have at the targets

A daemon sees a twelfth or a hundredth of its domain's load and decided on that alone. Now each reports the usage of its subtree to the daemon that it copies the directory from, roots tell each other, and the total comes down the same way, in datagrams at a port of their own (addresses.usage; without it nothing is sent). Reports end by their age; old, repeated, foreign and incredible ones are refused.

Daemons without followers report shortly after a total has reached them, the others once all their followers have: the levels of the tree add no time.

--- a/src/core/direct/direct_node.cpp
+++ b/src/core/direct/direct_node.cpp
@@ -1,6 +1,7 @@
 #include "core/direct/direct_node.h"
 
 #include "core/directory/keys.h"
+#include "core/impl/hash.h"
 
 #include <algorithm>
 #include <utility>
@@ -29,6 +30,13 @@
     return settings;
 }
 
+/// \return A number that differs at each start, also where the seed is the same. Not drawn from the
+/// random numbers of the node, on which its choices depend.
+[[nodiscard]] std::uint64_t usageIncarnation(std::uint64_t seed, TimePoint now) noexcept
+{
+    return impl::hashPair(seed, static_cast<std::uint64_t>(now.time_since_epoch().count()));
+}
+
 } // namespace
 
 DirectNode::Collection::Collection(DirectNode &node, std::string_view shortName,
@@ -66,6 +74,7 @@
                     Confirmation::ByWatch)
     , m_peers(m_settings.peers, m_identity, peerCallbacks(), m_random,
               {shared(m_routes), shared(m_targets), shared(m_evacuations)}, peerHandlers())
+    , m_usage(m_settings.usage, usageCallbacks(), usageIncarnation(seed, m_callbacks.feed.now()))
 {
     m_router.setProbing(static_cast<bool>(m_callbacks.probe));
 }
@@ -76,6 +85,8 @@
 {
     setRoots(roots);
     expirePeriodically();
+    if (m_callbacks.sendUsage)
+        m_usage.start();
 }
 
 void DirectNode::setRoots(const std::vector<Endpoint> &roots)
@@ -97,6 +108,7 @@
     }
     if (!m_roots.empty())
         m_peers.start(m_roots);
+    updateUsageRoute();
 }
 
 void DirectNode::stopStore(Collection &collection)
@@ -114,6 +126,7 @@
                         {m_targets.copy.confirmedAt(), m_targets.copy.storeReturnedAt()});
         startProbes();
         m_relay.expire();
+        refreshUsage();
         finishHeld();
         expirePeriodically();
     });
@@ -205,16 +218,6 @@
     m_relay.handle(question, std::move(reply));
 }
 
-UsageTable DirectNode::takeUsage()
-{
-    return m_router.takeUsage(m_callbacks.feed.now());
-}
-
-void DirectNode::applyUsage(const UsageView *view)
-{
-    m_router.applyUsage(view, m_callbacks.feed.now());
-}
-
 void DirectNode::stopHolding()
 {
     m_router.stopHolding(m_callbacks.feed.now());
@@ -224,6 +227,7 @@
 void DirectNode::processStalled(Duration gap)
 {
     notice(ProcessStalled{gap});
+    m_usage.reset();
     for (Collection *collection : all()) {
         collection->copy.markUnconfirmed();
         collection->copy.storeFailed(m_callbacks.feed.now()); // The store may have been away.
--- a/src/core/direct/direct_node.h
+++ b/src/core/direct/direct_node.h
@@ -8,6 +8,7 @@
 #include "core/directory/view_relay.h"
 #include "core/notice.h"
 #include "core/random.h"
+#include "core/usage/usage_exchange.h"
 
 #include <array>
 #include <functional>
@@ -93,10 +94,17 @@
 {
     Duration gap{0};
 };
+/// \brief The usage of all daemons has become known, or is unknown from now on.
+struct UsageContact
+{
+    bool known = false;
+    std::uint32_t daemons = 0; ///< Daemons that are part of the present view, or the last one.
+    Duration age{0};           ///< Of the oldest part of it.
+};
 /// \brief An event at a DirectNode, for the log and the metrics.
 using NodeNotice = std::variant<RoutesInForce, ObjectRefused, StoreContact, PeerContact,
                                 HistoryLost, WaitingQueueFull, ProcessStalled, PeerQueryEnded,
-                                FollowerOverflow, DomainEvacuated>;
+                                FollowerOverflow, DomainEvacuated, UsageContact>;
 
 /// \brief Callbacks through which a DirectNode reaches its environment.
 struct DirectCallbacks
@@ -113,6 +121,10 @@
     std::function<void(const Segment &, const std::string &payload, const SegmentVerdict &)>
         applyVerdict;
     std::function<void()> ready; ///< Called once the directory is complete; may be empty.
+    /// Sends a usage report to another daemon; empty where reports are disabled.
+    std::function<void(const Endpoint &to, const UsageMessage &report)> sendUsage;
+    /// \return Where a peer sends and receives usage reports; empty where that is at its address.
+    std::function<Endpoint(const Endpoint &peer)> usageAddressOf;
 };
 
 /// \brief Settings of a DirectNode.
@@ -122,6 +134,7 @@
     StoreFeedSettings store;
     PeerFeedSettings peers;
     RelaySettings relay;
+    UsageExchangeSettings usage;
 };
 
 /// \brief The logic of a daemon whose targets answer callers directly (direct server return): keeps
@@ -162,6 +175,11 @@
     /// \brief Places new flows by the usage of all daemons. \see DirectRouter::applyUsage
     void applyUsage(const UsageView *view);
 
+    /// \brief Handles a usage report of another daemon.
+    /// \param from The address of \a usageAddressOf.
+    void handle(const Endpoint &from, const UsageMessage &report);
+    [[nodiscard]] const UsageExchange &usage() const noexcept { return m_usage; }
+
     /// \brief Forwards all held requests and holds none from now on; to be called before the
     /// process ends.
     void stopHolding();
@@ -246,6 +264,14 @@
     [[nodiscard]] Lineage lineage() const;
     void startStoreLater(Collection &collection, Duration most);
     void announceReady();
+    [[nodiscard]] UsageExchangeCallbacks usageCallbacks();
+    [[nodiscard]] bool isBusy(const UsageTable &usage);
+    [[nodiscard]] Endpoint usageAddressOf(const Endpoint &peer) const;
+    /// \brief Tells the usage exchange this daemon's place in the tree.
+    void updateUsageRoute();
+    void onUsageChanged(const UsageView *view);
+    /// \brief Applies the view again, so that plans of a view that got too old end.
+    void refreshUsage();
     void refuseTarget(const std::string &key, DirectoryFinding finding);
     void refuse(const std::string &key, DirectoryFinding finding, bool replaces);
     void notice(const NodeNotice &notice) const;
@@ -273,6 +299,12 @@
     Collection m_targets;
     Collection m_evacuations;
     PeerFeed m_peers;
+    UsageExchange m_usage;
+    UsageContact m_usageContact;
+    /// Slots of services with work, by failure domain; dropped each second. Counting them for each
+    /// report would cost too much.
+    std::map<ServiceId, std::map<std::string, double>> m_slots;
+    TimePoint m_usageMeasuredAt{};
     TimePoint m_notifiedConfirmedAt{}; ///< Confirmation last reported to followers.
     /// Origin heartbeat last reported to followers, which matters while the copies are stale.
     TimePoint m_notifiedHeartbeatAt{};
--- a/src/core/direct/direct_node_directory.cpp
+++ b/src/core/direct/direct_node_directory.cpp
@@ -104,6 +104,7 @@
 void DirectNode::onPeerState(PeerState state)
 {
     notice(PeerContact{state, m_peers.source(), viewAge()});
+    updateUsageRoute();
     if (m_isRoot) {
         // Roots that the store refuses wait for each other's copies; without the notification they
         // would learn of these much later.
@@ -124,6 +125,7 @@
 void DirectNode::onPeersAnswered(bool changed)
 {
     m_hadCopies = hasCopies();
+    updateUsageRoute();
     if (!changed) {
         notifyFollowers();
         return;
--- /dev/null
+++ b/src/core/direct/direct_node_usage.cpp
@@ -0,0 +1,103 @@
+/// \file
+/// \brief How a daemon exchanges its usage with the others.
+
+#include "core/direct/direct_node.h"
+
+#include <map>
+#include <utility>
+
+namespace baobabtrail {
+
+UsageTable DirectNode::takeUsage()
+{
+    return m_router.takeUsage(m_callbacks.feed.now());
+}
+
+void DirectNode::applyUsage(const UsageView *view)
+{
+    m_router.applyUsage(view, m_callbacks.feed.now());
+}
+
+void DirectNode::handle(const Endpoint &from, const UsageMessage &report)
+{
+    if (m_callbacks.sendUsage)
+        m_usage.handle(from, report);
+}
+
+UsageExchangeCallbacks DirectNode::usageCallbacks()
+{
+    UsageExchangeCallbacks callbacks;
+    callbacks.now = m_callbacks.feed.now;
+    callbacks.after = m_callbacks.feed.after;
+    callbacks.send = m_callbacks.sendUsage;
+    callbacks.take = [this] { return takeUsage(); };
+    callbacks.isBusy = [this](const UsageTable &usage) { return isBusy(usage); };
+    callbacks.changed = [this](const UsageView *view) { onUsageChanged(view); };
+    return callbacks;
+}
+
+bool DirectNode::isBusy(const UsageTable &usage)
+{
+    std::map<ServiceId, std::map<std::string, double>> work;
+    for (const auto &[key, part] : usage)
+        work[key.service][key.targets] += part.inFlight();
+    for (const auto &[service, domains] : work) {
+        const auto [cached, isNew] = m_slots.try_emplace(service);
+        std::map<std::string, double> &slots = cached->second;
+        if (isNew)
+            slots = m_router.targets().slotsByDomain(service, m_callbacks.feed.now());
+        for (const auto &[domain, inFlight] : domains) {
+            const auto found = slots.find(domain);
+            // Without slots there is nothing that more frequent reports could help to share.
+            if (found != slots.end() && inFlight >= m_settings.usage.busyAt * found->second)
+                return true;
+        }
+    }
+    return false;
+}
+
+Endpoint DirectNode::usageAddressOf(const Endpoint &peer) const
+{
+    return m_callbacks.usageAddressOf ? m_callbacks.usageAddressOf(peer) : peer;
+}
+
+void DirectNode::updateUsageRoute()
+{
+    if (!m_callbacks.sendUsage)
+        return;
+    UsageRoute route;
+    route.isRoot = m_isRoot;
+    if (!m_isRoot && m_peers.state() != PeerState::Lost)
+        route.source = usageAddressOf(m_peers.source());
+    for (const Endpoint &root : m_roots) {
+        if (root != m_identity.address)
+            route.roots.push_back(usageAddressOf(root));
+    }
+    m_usage.setRoute(std::move(route));
+}
+
+void DirectNode::refreshUsage()
+{
+    if (!m_callbacks.sendUsage)
+        return;
+    m_slots.clear();
+    updateUsageRoute();
+    applyUsage(m_usage.view());
+}
+
+void DirectNode::onUsageChanged(const UsageView *view)
+{
+    const TimePoint now = m_callbacks.feed.now();
+    const bool wasKnown = m_usageContact.known;
+    m_usageContact.known = view != nullptr;
+    if (view) {
+        m_usageContact.daemons = view->daemons;
+        m_usageMeasuredAt = view->measuredAt;
+    }
+    m_usageContact.age = now - m_usageMeasuredAt;
+    if (m_usageContact.known != wasKnown)
+        notice(m_usageContact);
+    applyUsage(view);
+}
+
+} // namespace baobabtrail
--- a/src/core/usage/usage_exchange.h
+++ b/src/core/usage/usage_exchange.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "core/endpoint.h"
+#include "core/usage/message_guard.h"
+#include "core/usage/received_reports.h"
 #include "core/usage/usage_message.h"
 
 #include <functional>
@@ -23,6 +25,8 @@
     std::uint32_t missedReports = 3;
     std::uint32_t maxHeight = 12; ///< Reports of higher subtrees come round in a circle.
     std::size_t maxParts = 60;    ///< Parts in one message, the largest ones; fits in a datagram.
+    /// Requests in flight for each daemon of a report; a report of more is not credible.
+    double maxInFlight = 10'000;
 };
 
 /// \brief Clock, timers, transport and event handlers of a UsageExchange.
@@ -56,6 +60,14 @@
 class UsageExchange
 {
 public:
+    /// \brief Messages of a UsageExchange since its start.
+    struct Counts
+    {
+        std::uint64_t sent = 0;
+        std::uint64_t received = 0; ///< That were used.
+        std::uint64_t refused = 0;  ///< Old, repeated, from the wrong daemon, or not credible.
+    };
+
     UsageExchange(UsageExchangeSettings settings, UsageExchangeCallbacks callbacks,
                   std::uint64_t incarnation);
     UsageExchange(const UsageExchange &) = delete;
@@ -65,16 +77,78 @@
     /// \brief Sets this daemon's place in the tree; to be called for each change.
     void setRoute(UsageRoute route);
     void handle(const Endpoint &from, const UsageMessage &message);
+    /// \brief Drops the view and all reports, whose ages are unknown after the process stalled.
+    void reset();
 
     /// \return The usage of all daemons; null where it is unknown or too old.
     [[nodiscard]] const UsageView *view() const noexcept { return m_view ? &*m_view : nullptr; }
+    [[nodiscard]] const Counts &counts() const noexcept { return m_counts; }
+    /// \return Time between two reports at present.
+    [[nodiscard]] Duration interval() const noexcept;
 
 private:
+    /// \brief A sum of reports, as it is sent on.
+    struct Sum
+    {
+        UsageView view;
+        std::uint32_t height = 1;
+        bool busy = false;
+        Duration interval{0}; ///< Until the next one.
+    };
+
+    /// \brief When to report: times after the last report, but for \a afterTotal.
+    struct Timing
+    {
+        Duration earliest{0};
+        Duration afterTotal{0}; ///< After a total has come, without followers.
+        Duration usual{0};
+        Duration latest{0}; ///< Where reports of followers are missing.
+    };
+
+    void pollPeriodically();
+    void poll();
+    void measure();
+    void expire();
+    [[nodiscard]] Timing timing() const noexcept;
+    void schedule();
+    void report();
+    [[nodiscard]] Sum takeSubtree();
+    void add(Sum &sum, const ReceivedReport &report) const;
+    [[nodiscard]] bool isCredible(const UsageMessage &message) const;
+    [[nodiscard]] bool accept(const Endpoint &from, const UsageMessage &message);
+    [[nodiscard]] bool acceptTotal(const Endpoint &from, const UsageMessage &message);
+    [[nodiscard]] bool acceptSubtree(const Endpoint &from, const UsageMessage &message);
+    [[nodiscard]] bool isOtherRoot(const Endpoint &daemon) const;
+    [[nodiscard]] Duration lifetimeOf(Duration interval) const;
+    void reportTotal(const Sum &subtree);
+    void publish(const Sum &total);
+    void dropView();
+    [[nodiscard]] UsageMessage makeMessage(UsageScope scope, const Sum &sum) const;
+    void send(const Endpoint &to, UsageMessage message);
+
     UsageExchangeSettings m_settings;
     UsageExchangeCallbacks m_callbacks;
     std::uint64_t m_incarnation;
+    std::uint64_t m_sequence = 0;
     UsageRoute m_route;
+    MessageGuard m_guard;
+    ReceivedReports m_children; ///< Of followers, and of daemons that were until lately.
+    ReceivedReports m_siblings; ///< Of the other roots, at a root.
+    UsageTable m_measured;      ///< Integral since the last report.
+    double m_measuredSeconds = 0;
+    UsageTable m_own;         ///< Average over the time before the last report.
+    TimePoint m_ownAt{};      ///< Until when usage was measured.
+    bool m_ownIsBusy = false; ///< By the last interval alone.
+    bool m_subtreeIsBusy = false;
+    bool m_totalIsBusy = false;
+    TimePoint m_reportedAt{};
+    Duration m_promised{0}; ///< Interval stated by the last report, which ends by it.
     std::optional<UsageView> m_view;
+    TimePoint m_totalAt{}; ///< When the source's last total came.
+    TimePoint m_viewEndsAt{};
+    std::uint64_t m_timer = 0; ///< Incremented to invalidate the pending one.
+    TimePoint m_ignoreUntil{};
+    Counts m_counts;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/src/daemon/direct/direct_daemon.cpp
+++ b/src/daemon/direct/direct_daemon.cpp
@@ -8,6 +8,7 @@
 #include "net/try_connection.h"
 #include "platform/packet_form.h"
 #include "platform/registry_form.h"
+#include "wire/usage_form.h"
 
 #include <boost/asio/post.hpp>
 
@@ -101,6 +102,16 @@
             [this](const Endpoint &sender, std::string_view bytes) { handlePacket(sender, bytes); },
             failed);
     }));
+    if (!m_settings.addresses.usage.isNull()) {
+        m_network.add(ownedChild("usage socket", m_usage, [this](const FailureHandler &failed) {
+            m_usage = std::make_unique<UdpSocket>(
+                m_context, m_settings.addresses.usage, m_settings.sockets, m_metrics.usage,
+                [this](const Endpoint &sender, std::string_view bytes) {
+                    handleUsage(sender, bytes);
+                },
+                failed);
+        }));
+    }
     m_network.add(ownedChild("store", m_store, [this](const FailureHandler &) {
         m_store = std::make_unique<PlatformClient>(m_context, m_settings.store);
     }));
@@ -183,6 +194,12 @@
         probeTarget(target, std::move(done));
     };
     callbacks.ready = [this] { m_log.ready(*m_node); };
+    if (!m_settings.addresses.usage.isNull()) {
+        callbacks.sendUsage
+            = [this](const Endpoint &to, const UsageMessage &report) { sendUsage(to, report); };
+        callbacks.usageAddressOf
+            = [this](const Endpoint &peer) { return m_settings.addresses.usageAddressOf(peer); };
+    }
     callbacks.applyVerdict
         = [this](const Segment &segment, const std::string &payload,
                  const SegmentVerdict &verdict) { applyVerdict(segment, payload, verdict); };
@@ -269,6 +286,23 @@
         ++m_metrics.packetsDelayed;
 }
 
+void DirectDaemon::handleUsage(const Endpoint &sender, std::string_view bytes)
+{
+    const auto report = wire::decodeUsage(bytes);
+    if (!report) {
+        ++m_metrics.usageMalformed;
+        return;
+    }
+    if (m_node)
+        m_node->handle(sender, *report);
+}
+
+void DirectDaemon::sendUsage(const Endpoint &to, const UsageMessage &report)
+{
+    if (m_usage)
+        m_usage->send(to, wire::encodeUsage(report));
+}
+
 void DirectDaemon::applyVerdict(const Segment &segment, std::string_view bytes,
                                 const SegmentVerdict &verdict)
 {
--- a/src/daemon/direct/direct_daemon.h
+++ b/src/daemon/direct/direct_daemon.h
@@ -24,7 +24,7 @@
 /// supervision tree, on one thread.
 ///
 ///     daemon
-///     ├── network   packet socket, store client, peer client
+///     ├── network   packet socket, usage socket, store client, peer client
 ///     ├── node      directory and router
 ///     ├── http      readiness, metrics, queries of other daemons
 ///     ├── clocks    detects that the process stalled
@@ -55,6 +55,8 @@
     void watchSettings();
 
     void handlePacket(const Endpoint &sender, std::string_view bytes);
+    void handleUsage(const Endpoint &sender, std::string_view bytes);
+    void sendUsage(const Endpoint &to, const UsageMessage &report);
     void applyVerdict(const Segment &segment, std::string_view bytes,
                       const SegmentVerdict &verdict);
     [[nodiscard]] DirectCallbacks callbacks();
@@ -79,6 +81,7 @@
     DirectLog m_log;
 
     std::unique_ptr<UdpSocket> m_packets;
+    std::unique_ptr<UdpSocket> m_usage;
     std::unique_ptr<PlatformClient> m_store;
     std::unique_ptr<HttpClient> m_peers;
     std::unique_ptr<DirectNode> m_node;
--- a/src/daemon/direct/direct_log.cpp
+++ b/src/daemon/direct/direct_log.cpp
@@ -188,6 +188,12 @@
         event.field("waiting", in.waiting).field("outcome", "dropped; the caller retransmits it");
         return event;
     }
+    LogEvent operator()(const UsageContact &in) const
+    {
+        LogEvent event{Severity::Info, Part::Distribution, in.known ? "usage_known" : "usage_lost"};
+        event.field("daemons", in.daemons).field("age_ms", in.age);
+        return event;
+    }
     LogEvent operator()(const ProcessStalled &in) const
     {
         LogEvent event{Severity::Warning, Part::Daemon, "stood_still"};
--- a/src/daemon/direct/direct_metrics.cpp
+++ b/src/daemon/direct/direct_metrics.cpp
@@ -62,6 +62,7 @@
     writeServices(page);
     writeSocket(page);
     writePeerQueries(page);
+    writeUsage(page, node);
     page.family("baobabtrail_store_calls_total", "counter", "Calls to the store, by result.");
     for (std::size_t call = 0; call < PlatformCallNames.size(); ++call) {
         for (std::size_t result = 0; result < PlatformResultNames.size(); ++result) {
@@ -206,6 +207,29 @@
     m_peerQueries.answerTimes.write(page, {});
 }
 
+void DirectMetrics::writeUsage(Exposition &page, const DirectNode &node) const
+{
+    const UsageExchange::Counts &counts = node.usage().counts();
+    const auto counter
+        = [&page](std::string_view name, std::string_view help, std::uint64_t value) {
+              writeOne(page, name, "counter", help, static_cast<double>(value));
+          };
+    counter("baobabtrail_usage_reports_sent_total", "Usage reports sent to other daemons.",
+            counts.sent);
+    counter("baobabtrail_usage_reports_received_total", "Usage reports received and used.",
+            counts.received);
+    counter("baobabtrail_usage_reports_refused_total",
+            "Usage reports that were malformed, old, repeated, not credible or from a daemon that "
+            "has no part in the tree.",
+            counts.refused + usageMalformed);
+    counter("baobabtrail_usage_bytes_sent_total", "Bytes of the usage reports sent.",
+            usage.bytesOut);
+    const UsageView *view = node.usage().view();
+    writeOne(page, "baobabtrail_usage_daemons", "gauge",
+             "Daemons whose usage is part of the total; 0 while it is unknown.",
+             view ? view->daemons : 0);
+}
+
 void DirectMetrics::writeSocket(Exposition &page) const
 {
     const auto counter
--- a/src/daemon/direct/direct_metrics.h
+++ b/src/daemon/direct/direct_metrics.h
@@ -61,6 +61,8 @@
                                    std::uint64_t logLinesLeftOut) const;
 
     SocketCounters packets;
+    SocketCounters usage;
+    std::uint64_t usageMalformed = 0; ///< Datagrams that are not valid usage reports.
     std::uint64_t packetsRefused = 0; ///< Datagrams that are not valid packets.
     std::uint64_t objectsRefused = 0; ///< Objects of the store that are invalid.
     std::uint64_t processStalls = 0;
@@ -88,6 +90,7 @@
     void writePeerQueries(Exposition &page) const;
     static void writeTree(Exposition &page, const DirectNode &node, const HttpConnections &peers);
     void writeSocket(Exposition &page) const;
+    void writeUsage(Exposition &page, const DirectNode &node) const;
 
     /// \brief Queries to other daemons, by outcome.
     struct PeerQueries
--- a/src/daemon/direct/direct_settings.h
+++ b/src/daemon/direct/direct_settings.h
@@ -18,12 +18,22 @@
     /// Address at which other daemons reach \a peers if it differs, for example behind a relay;
     /// null otherwise.
     Endpoint peersReachedAt;
+    /// UDP; usage reports of other daemons. Null if disabled.
+    Endpoint usage;
 
     /// \return The address by which other daemons know this one.
     [[nodiscard]] const Endpoint &identity() const noexcept
     {
         return peersReachedAt.isNull() ? peers : peersReachedAt;
     }
+    /// \return Where a peer receives usage reports: at the port that all daemons use, or, where
+    /// that is the one for queries, at the peer's own.
+    [[nodiscard]] Endpoint usageAddressOf(const Endpoint &peer) const noexcept
+    {
+        if (peer.isNull() || usage.port == peers.port)
+            return peer;
+        return {peer.address, usage.port};
+    }
 };
 
 /// \brief Settings of a daemon that forwards directly.
--- a/src/daemon/settings/object_reader.cpp
+++ b/src/daemon/settings/object_reader.cpp
@@ -107,6 +107,18 @@
     out = *parsed;
 }
 
+void ObjectReader::flag(std::string_view key, bool &out)
+{
+    const boost::json::value *found = find(key, Presence::Optional);
+    if (!found)
+        return;
+    if (!found->is_bool()) {
+        addFinding(key, "expected true or false");
+        return;
+    }
+    out = found->get_bool();
+}
+
 void ObjectReader::real(std::string_view key, double &out, double min, double max)
 {
     const boost::json::value *found = find(key, Presence::Optional);
--- a/src/daemon/settings/object_reader.h
+++ b/src/daemon/settings/object_reader.h
@@ -46,6 +46,7 @@
             out = static_cast<Number>(value);
     }
 
+    void flag(std::string_view key, bool &out);
     /// \brief Reads a floating-point number.
     void real(std::string_view key, double &out, double min, double max);
 
--- a/src/daemon/settings/settings_reader.cpp
+++ b/src/daemon/settings/settings_reader.cpp
@@ -252,8 +252,23 @@
     reader.endpoint("metrics", out.metrics);
     reader.endpoint("peers", out.peers);
     reader.endpoint("peersReachedAt", out.peersReachedAt);
+    reader.endpoint("usage", out.usage);
     if (!out.readiness.isNull() && out.readiness == out.metrics)
         reader.addFinding("metrics", "must not be the same as addresses.readiness");
+    if (!out.usage.isNull() && out.usage == out.packets)
+        reader.addFinding("usage", "must not be the same as addresses.packets");
+    if (!out.usage.isNull() && out.peers.isNull())
+        reader.addFinding("usage", "needs addresses.peers, by which other daemons are known");
+}
+
+void readUsage(ObjectReader &reader, UsageExchangeSettings &out)
+{
+    reader.flag("enabled", out.enabled);
+    reader.duration("busyInterval", out.busyInterval, 50ms, 10s);
+    reader.duration("calmInterval", out.calmInterval, 50ms, 1min);
+    reader.number("missedReports", out.missedReports, 2, 100);
+    if (out.calmInterval < out.busyInterval)
+        reader.addFinding("calmInterval", "must not be shorter than usage.busyInterval");
 }
 
 void readDirectRoot(ObjectReader &reader, DirectDaemonSettings &out)
@@ -277,6 +292,7 @@
     reader.section("directory", [&](ObjectReader &nested) { readFeed(nested, out.node.store); });
     reader.section("peers", [&](ObjectReader &nested) { readPeers(nested, out.node); });
     reader.section("flows", [&](ObjectReader &nested) { readFlows(nested, out.node.flows); });
+    reader.section("usage", [&](ObjectReader &nested) { readUsage(nested, out.node.usage); });
     reader.section("overload",
                    [&](ObjectReader &nested) { readOverload(nested, out.node.flows.overload); });
     reader.section("experiments",
--- a/tests/settings/settings_reader_test.cpp
+++ b/tests/settings/settings_reader_test.cpp
@@ -252,3 +252,38 @@
                                             "overload.mostWindow", "experiments.without[1]"};
     cr_assert(places == expected, "%zu findings, first %s", places.size(), places.front().c_str());
 }
+
+// Reports at intervals that don't fit each other would end before the next ones come; without the
+// addresses of peers there is nobody to report to.
+Test(settings, usageReportsAreChecked)
+{
+    const auto read = readAnySettings(directText(
+        R"("usage": {"enabled": false, "busyInterval": "500ms", "calmInterval": "5s",
+                     "missedReports": 4})"));
+    const UsageExchangeSettings &usage = std::get<DirectDaemonSettings>(read).node.usage;
+    cr_assert(!usage.enabled && usage.busyInterval == 500ms && usage.calmInterval == 5s);
+    cr_assert_eq(usage.missedReports, 4);
+
+    const auto wrong = readAnySettings(
+        directText(R"("usage": {"enabled": 1, "busyInterval": "3s", "missedReports": 0})"));
+    std::vector<std::string> places;
+    for (const Finding &finding : std::get<Findings>(wrong))
+        places.push_back(finding.place);
+    const std::vector<std::string> expected{"usage.enabled", "usage.missedReports",
+                                            "usage.calmInterval"};
+    cr_assert(places == expected, "%zu findings, first %s", places.size(), places.front().c_str());
+}
+
+// On the platform all daemons report at the same port; where many share an IP address, each at its
+// own.
+Test(settings, usageAddressOfAPeer)
+{
+    DirectAddresses addresses;
+    addresses.peers = {0x0A010001, 8166};
+    addresses.usage = {0x0A010001, 7720};
+    const Endpoint peer{0x0A010002, 8167};
+    cr_assert(addresses.usageAddressOf(peer) == Endpoint({0x0A010002, 7720}));
+    cr_assert(addresses.usageAddressOf({}).isNull());
+    addresses.usage.port = addresses.peers.port;
+    cr_assert(addresses.usageAddressOf(peer) == peer);
+}
