--- a/tests/support/load_daemons.h
+++ b/tests/support/load_daemons.h
@@ -70,6 +70,8 @@
         const std::size_t to = domainOfTarget(target);
         return from == to || (!m_cut.contains(from) && !m_cut.contains(to));
     }
+    /// \brief The domain's daemons exchange usage with each other alone from now on.
+    void separateUsage(std::size_t domain) { m_separate.insert(domain); }
     /// \brief Ends the exchange of usage, so that it is unknown, or resumes it.
     void loseUsage(bool isLost = true)
     {
@@ -144,13 +146,15 @@
     }
     [[nodiscard]] std::size_t groupOf(std::size_t daemon) const
     {
-        return m_cut.contains(domainOf(daemon)) ? domainOf(daemon) : LoadDomains;
+        const std::size_t domain = domainOf(daemon);
+        return m_cut.contains(domain) || m_separate.contains(domain) ? domain : LoadDomains;
     }
 
     LoadPattern m_pattern;
     std::function<void(std::size_t, const SegmentDecision &)> m_decided;
     std::function<void(const Segment &, const SegmentVerdict &)> m_applied;
     std::set<std::size_t> m_cut;
+    std::set<std::size_t> m_separate;
     bool m_usageLost = false;
     DirectCluster m_cluster;
 };
--- a/tests/support/load_pattern.h
+++ b/tests/support/load_pattern.h
@@ -25,13 +25,14 @@
     Duration work = 50ms;   ///< Mean service time of a request.
     Duration latency = 250ms;
     Duration timeout = 2500ms;
-    Duration refusalTakes = 2ms;   ///< From a request's arrival at a full queue to the refusal.
-    double load = 1.0;             ///< Offered load, relative to the capacity of the slots.
-    double urgentShare = 0;        ///< Share of requests on a route of higher priority.
-    double ownFlowShare = 0;       ///< Share of requests that open a flow of their own.
-    bool heldBack = true;          ///< Whether daemons hold requests back under overload.
-    bool exchangesUsage = false;   ///< Whether daemons learn the usage of all others.
-    std::size_t silentTargets = 0; ///< Stop answering when the measurement begins.
+    Duration acknowledgedAfter = 20ms; ///< From an answer until the daemon sees it acknowledged.
+    Duration refusalTakes = 2ms;       ///< From a request's arrival at a full queue to the refusal.
+    double load = 1.0;                 ///< Offered load, relative to the capacity of the slots.
+    double urgentShare = 0;            ///< Share of requests on a route of higher priority.
+    double ownFlowShare = 0;           ///< Share of requests that open a flow of their own.
+    bool heldBack = true;              ///< Whether daemons hold requests back under overload.
+    bool exchangesUsage = false;       ///< Whether daemons learn the usage of all others.
+    std::size_t silentTargets = 0;     ///< Stop answering when the measurement begins.
     DirectSettings flows{};
 };
 
@@ -72,14 +73,17 @@
     }
 };
 
-/// \brief What reached the targets during the measurement and until its requests had ended.
+/// \brief What was placed at and reached the targets during the measurement and until its requests
+/// had ended.
 struct ArrivalResult
 {
-    std::size_t arrivals = 0;
+    std::size_t openings = 0; ///< Flows that were placed there, also by a retransmission.
+    std::size_t arrivals = 0; ///< Requests.
     std::size_t refusals = 0; ///< Of these, by a full queue.
 
     ArrivalResult &operator+=(const ArrivalResult &other) noexcept
     {
+        openings += other.openings;
         arrivals += other.arrivals;
         refusals += other.refusals;
         return *this;
--- a/tests/support/load_replay.h
+++ b/tests/support/load_replay.h
@@ -92,7 +92,7 @@
     }
     /// \return The result of the route of higher priority alone.
     [[nodiscard]] LoadResult urgent() const { return result({.urgent = true}); }
-    /// \return Outcomes at targets, by the second of the arrival.
+    /// \return Outcomes at targets, by the second in which they occurred.
     [[nodiscard]] ArrivalResult arrivals(const LoadSelection &which = {}) const
     {
         return m_arrivals.sum(which);
@@ -124,7 +124,6 @@
     static constexpr double QuietLoad = 0.4;
     static constexpr Duration Hop = LoadTargets::Hop;
     static constexpr Duration OpeningTakes = 6ms; ///< Until the caller sends its request.
-    static constexpr Duration AcknowledgedAfter = 20ms;
     static constexpr Duration ResentAfter = 200ms;
     static constexpr int MaxRetries = 2;
     static constexpr std::uint16_t RequestBytes = 100;
@@ -165,6 +164,13 @@
         return m_daemons.reaches(flow.daemon, flow.target) && !m_targets.isSilent(flow.target);
     }
 
+    [[nodiscard]] ArrivalResult &arrivalsOf(const Flow &flow)
+    {
+        return m_arrivals.at({LoadDaemons::domainOf(flow.daemon),
+                              LoadDaemons::domainOfTarget(flow.target),
+                              flow.key.service == LoadDaemons::Urgent, second()});
+    }
+
     void decided(std::size_t daemon, const SegmentDecision &decision)
     {
         if (decision.cause != SegmentCause::Held || !isMeasuring())
@@ -300,6 +306,8 @@
         flow.target = delivered.target.value() - 1;
         flow.label = delivered.label;
         m_placements.push_back(flow.target);
+        if (m_measuredFrom)
+            ++arrivalsOf(flow).openings;
         return true;
     }
 
@@ -393,9 +401,7 @@
         const bool accepted = m_targets.arrive(flow.target, flow.request);
         if (!m_measuredFrom)
             return;
-        ArrivalResult &counts = m_arrivals.at({LoadDaemons::domainOf(flow.daemon),
-                                               LoadDaemons::domainOfTarget(flow.target),
-                                               flow.key.service == LoadDaemons::Urgent, second()});
+        ArrivalResult &counts = arrivalsOf(flow);
         ++counts.arrivals;
         counts.refusals += !accepted;
     }
@@ -425,7 +431,7 @@
 
     void acknowledgeLater(std::size_t index, std::uint32_t received)
     {
-        m_cluster.time.after(AcknowledgedAfter, [this, index, received] {
+        m_cluster.time.after(m_pattern.acknowledgedAfter, [this, index, received] {
             const Flow &flow = m_flows[index];
             if (flow.received != received || flow.request != 0)
                 return;
