Settings of placement; the reader of direct forwarding in a file of its own

Cause: spill, reservations and admission had no setting outside of experiments, and settings_reader.cpp held the sections of both kinds of daemon.

Change: section placement, checked; sections that both kinds have and those of direct forwarding each have their own file.

--- a/src/daemon/settings/settings_reader.cpp
+++ b/src/daemon/settings/settings_reader.cpp
@@ -1,6 +1,8 @@
 #include "daemon/settings/settings_reader.h"
 
 #include "core/access_key.h"
+#include "daemon/settings/common_sections.h"
+#include "daemon/settings/direct_settings_reader.h"
 #include "daemon/settings/object_reader.h"
 #include "daemon/settings/secret_file.h"
 
@@ -74,13 +76,6 @@
         reader.addFinding("administration", "must not be the same as addresses.records");
 }
 
-void readPlatform(ObjectReader &reader, PlatformClientSettings &out)
-{
-    reader.endpoint("address", out.platform, Presence::Required);
-    reader.duration("timeout", out.timeout, 10ms, 1min);
-    reader.duration("longestAnswer", out.maxAnswerTime, 0s, 10min);
-}
-
 void readAdministration(ObjectReader &reader, AdministrationSettings &out)
 {
     std::string keyFile;
@@ -98,13 +93,6 @@
         out.operatorKeyHashes.push_back(accessKeyHash(key));
 }
 
-void readSockets(ObjectReader &reader, SocketSettings &out)
-{
-    reader.number("batch", out.batch, 1, 256);
-    reader.number("receiveBufferBytes", out.receiveBufferBytes, 4096, 1 << 30);
-    reader.number("sendBufferBytes", out.sendBufferBytes, 4096, 1 << 30);
-}
-
 void readLinks(ObjectReader &reader, LinkSettings &out)
 {
     reader.duration("connectTimeout", out.connectTimeout, 10ms, 1min);
@@ -118,37 +106,6 @@
     reader.number("connections", out.connections, 1, 4096);
 }
 
-void readLog(ObjectReader &reader, LogSettings &out)
-{
-    struct Level
-    {
-        std::string_view name;
-        Severity severity;
-    };
-    constexpr std::array levels{Level{"debug", Severity::Debug}, Level{"info", Severity::Info},
-                                Level{"warning", Severity::Warning},
-                                Level{"error", Severity::Error}};
-    std::string name;
-    reader.text("level", name);
-    const auto *level = std::find_if(levels.begin(), levels.end(),
-                                     [&](const Level &entry) { return entry.name == name; });
-    if (level != levels.end())
-        out.level = level->severity;
-    else if (!name.empty())
-        reader.addFinding("level", "expected debug, info, warning or error");
-    reader.number("linesPerSecond", out.linesPerSecond, 1, 10000);
-}
-
-void readRestarts(ObjectReader &reader, RestartPolicy &out)
-{
-    reader.duration("firstDelay", out.firstDelay, 1ms, 1min);
-    reader.duration("maxDelay", out.maxDelay, 1ms, 10min);
-    reader.number("maxFailures", out.maxFailures, 0, 1000);
-    reader.duration("window", out.window, 100ms, 1h);
-    if (out.maxDelay < out.firstDelay)
-        reader.addFinding("maxDelay", "must not be shorter than restarts.firstDelay");
-}
-
 void readTraffic(ObjectReader &reader, TrafficSettings &out)
 {
     reader.number("maxRequests", out.maxRequests, 16, 16 << 20);
@@ -179,127 +136,6 @@
         reader.addFinding("pingTimeout", "must be shorter than control.pingPeriod");
 }
 
-void readFeed(ObjectReader &reader, StoreFeedSettings &out)
-{
-    reader.duration("watchWait", out.watchWait, 100ms, 30s);
-    reader.duration("gather", out.batchDelay, 0s, 10s);
-    reader.duration("firstRetry", out.firstRetry, 1ms, 10s);
-    reader.duration("mostRetry", out.maxRetry, 1ms, 1min);
-    reader.duration("returnGrace", out.returnGrace, 0s, 1min);
-    if (out.maxRetry < out.firstRetry)
-        reader.addFinding("mostRetry", "must not be shorter than directory.firstRetry");
-}
-
-void readPeers(ObjectReader &reader, DirectNodeSettings &out)
-{
-    reader.duration("wait", out.peers.wait, 10ms, 30s);
-    reader.duration("timeout", out.peers.timeout, 10ms, 30s);
-    reader.duration("connectTimeout", out.peers.connectTimeout, 1ms, 30s);
-    reader.duration("blankWait", out.peers.emptyWait, 10ms, 30s);
-    reader.duration("headStart", out.peers.headStart, 0ms, 30s);
-    reader.duration("copyHeadStart", out.peers.copyHeadStart, 0ms, 30s);
-    reader.duration("longestAnswer", out.peers.answerTimeout, 10ms, 10min);
-    reader.duration("copyTimeout", out.peers.copyTimeout, 10ms, 10min);
-    reader.duration("retry", out.peers.retry, 1ms, 30s);
-    reader.duration("forget", out.peers.retryFailedAfter, 1ms, 10min);
-    reader.duration("staleAfter", out.peers.staleAfter, 10ms, 10min);
-    reader.duration("patience", out.peers.startupWait, 0s, 10min);
-    reader.number("maxFollowers", out.relay.maxFollowers, 1, 4096);
-}
-
-void readFlows(ObjectReader &reader, DirectSettings &out)
-{
-    reader.number("suspectAfter", out.suspectAfter, 1, 1000);
-    reader.duration("trialEvery", out.trialEvery, 10ms, 10min);
-    reader.duration("lapsedFor", out.lapsedFor, 0s, 10min);
-    reader.duration("lifetime", out.flowLifetime, 1s, 24h);
-    reader.duration("idleTimeout", out.idleTimeout, 1s, 24h);
-    reader.number("maxFlows", out.maxFlows, 16, 16 << 20);
-}
-
-void readOverload(ObjectReader &reader, OverloadSettings &out)
-{
-    reader.real("saturatedShare", out.saturatedShare, 0.1, 10.0);
-    reader.real("leastWindow", out.minWindow, 0.01, 1000.0);
-    reader.real("mostWindow", out.maxWindow, 1.0, 10000.0);
-    reader.real("shrink", out.decreaseFactor, 0.1, 1.0);
-    reader.real("growth", out.increaseStep, 0.0, 100.0);
-    reader.real("lateRoom", out.lateShare, 0.0, 1.0);
-    reader.number("mostHeldOfTarget", out.maxHeldPerTarget, 0, 1 << 20);
-    reader.number("mostHeldBytes", out.maxHeldBytes, 0, 1 << 30);
-    if (out.maxWindow < out.minWindow)
-        reader.addFinding("mostWindow", "must not be less than overload.leastWindow");
-}
-
-void readExperiments(ObjectReader &reader, DirectSettings &out)
-{
-    std::vector<Mechanism> without;
-    reader.list("without", without, mechanismNamed, "the name of a mechanism");
-    for (const Mechanism mechanism : without)
-        out.mechanisms.leaveOut(mechanism);
-    out.overload.hold = out.mechanisms.has(Mechanism::HoldRequests);
-    out.overload.newestFirst = out.mechanisms.has(Mechanism::NewestFirst);
-    out.overload.priorities = out.mechanisms.has(Mechanism::Priorities);
-    out.placement.spill = out.mechanisms.has(Mechanism::Spill);
-    out.placement.reserve = out.mechanisms.has(Mechanism::Reservations);
-    out.placement.admit = out.mechanisms.has(Mechanism::Admission);
-}
-
-void readDirectAddresses(ObjectReader &reader, DirectAddresses &out)
-{
-    reader.endpoint("packets", out.packets, Presence::Required);
-    reader.endpoint("readiness", out.readiness, Presence::Required);
-    reader.endpoint("metrics", out.metrics);
-    reader.endpoint("peers", out.peers);
-    reader.endpoint("peersReachedAt", out.peersReachedAt);
-    reader.endpoint("usage", out.usage);
-    if (!out.readiness.isNull() && out.readiness == out.metrics)
-        reader.addFinding("metrics", "must not be the same as addresses.readiness");
-    if (!out.usage.isNull() && out.usage == out.packets)
-        reader.addFinding("usage", "must not be the same as addresses.packets");
-    if (!out.usage.isNull() && out.peers.isNull())
-        reader.addFinding("usage", "needs addresses.peers, by which other daemons are known");
-}
-
-void readUsage(ObjectReader &reader, UsageExchangeSettings &out)
-{
-    reader.flag("enabled", out.enabled);
-    reader.duration("busyInterval", out.busyInterval, 50ms, 10s);
-    reader.duration("calmInterval", out.calmInterval, 50ms, 1min);
-    reader.number("missedReports", out.missedReports, 2, 100);
-    if (out.calmInterval < out.busyInterval)
-        reader.addFinding("calmInterval", "must not be shorter than usage.busyInterval");
-}
-
-void readDirectRoot(ObjectReader &reader, DirectDaemonSettings &out)
-{
-    std::string forwarding;
-    reader.text("forwarding", forwarding, Presence::Required);
-    reader.text("name", out.name, Presence::Required);
-    reader.text("domain", out.domain, Presence::Required);
-    reader.section(
-        "addresses", [&](ObjectReader &nested) { readDirectAddresses(nested, out.addresses); },
-        Presence::Required);
-    reader.section(
-        "store", [&](ObjectReader &nested) { readPlatform(nested, out.store); },
-        Presence::Required);
-    reader.duration("killedAfter", out.killedAfter, 0s, 1h);
-    reader.duration("stopLinger", out.stopLinger, 0s, 10min);
-    reader.section("sockets", [&](ObjectReader &nested) { readSockets(nested, out.sockets); });
-    reader.section("log", [&](ObjectReader &nested) { readLog(nested, out.log); });
-    reader.section("restarts", [&](ObjectReader &nested) { readRestarts(nested, out.restarts); });
-    reader.list("roots", out.roots, parseEndpoint, "an IPv4 address with a port");
-    reader.section("directory", [&](ObjectReader &nested) { readFeed(nested, out.node.store); });
-    reader.section("peers", [&](ObjectReader &nested) { readPeers(nested, out.node); });
-    reader.section("flows", [&](ObjectReader &nested) { readFlows(nested, out.node.flows); });
-    reader.section("usage", [&](ObjectReader &nested) { readUsage(nested, out.node.usage); });
-    reader.section("overload",
-                   [&](ObjectReader &nested) { readOverload(nested, out.node.flows.overload); });
-    reader.section("experiments",
-                   [&](ObjectReader &nested) { readExperiments(nested, out.node.flows); });
-    reader.finish();
-}
-
 void readRoot(ObjectReader &reader, Settings &out)
 {
     std::string forwarding;
@@ -416,7 +252,7 @@
     if (!forwarding || *forwarding == "tokens")
         return toAnySettings(readObject<Settings>(root, readRoot));
     if (*forwarding == "direct")
-        return toAnySettings(readObject<DirectDaemonSettings>(root, readDirectRoot));
+        return toAnySettings(readObject<DirectDaemonSettings>(root, readDirectSettings));
     return Findings{{"forwarding", "expected tokens or direct"}};
 }
 
--- a/tests/settings/settings_reader_test.cpp
+++ b/tests/settings/settings_reader_test.cpp
@@ -274,6 +274,23 @@
     cr_assert(places == expected, "%zu findings, first %s", places.size(), places.front().c_str());
 }
 
+Test(settings, placementIsCheckedAndEachPartCanBeTurnedOff)
+{
+    const auto read = readAnySettings(directText(
+        R"("placement": {"spill": false, "reservations": false, "admission": false, "fullAt": 0.9},
+           "experiments": {"without": ["spill"]})"));
+    const PlacementSettings &off = std::get<DirectDaemonSettings>(read).node.flows.placement;
+    cr_assert(!off.spill && !off.reserve && !off.admit && off.fullAt == 0.9);
+
+    const auto wrong = readAnySettings(
+        directText(R"("placement": {"spill": "no", "saturatedAt": 0.5, "relievedAt": 0.6})"));
+    std::vector<std::string> places;
+    for (const Finding &finding : std::get<Findings>(wrong))
+        places.push_back(finding.place);
+    const std::vector<std::string> expected{"placement.spill", "placement.relievedAt"};
+    cr_assert(places == expected, "%zu findings, first %s", places.size(), places.front().c_str());
+}
+
 // On the platform all daemons report at the same port; where many share an IP address, each at its
 // own.
 Test(settings, usageAddressOfAPeer)
