--- a/tests/usage/usage_exchange_test.cpp
+++ b/tests/usage/usage_exchange_test.cpp
@@ -99,13 +99,13 @@
     const auto fleet = busyFleet(12);
     fleet->loss = 0.02;
     std::size_t good = 0;
-    constexpr std::size_t Steps = 400;
-    for (std::size_t step = 0; step < Steps; ++step) {
+    constexpr std::size_t steps = 400;
+    for (std::size_t step = 0; step < steps; ++step) {
         fleet->time.run(50ms);
         cr_assert(fleet->mostSeen() <= 1.01 * fleet->inFlight());
         good += fleet->allSeeAll();
     }
-    cr_assert(good >= Steps * 95 / 100, "%zu of %zu", good, Steps);
+    cr_assert(good >= steps * 95 / 100, "%zu of %zu", good, steps);
 }
 
 // Datagrams that come twice must not count twice, nor bring back what newer ones replaced.
@@ -314,10 +314,17 @@
 // All the traffic of the exchange has to leave room in the 2 KB/s of a daemon.
 Test(usageExchange, bytesOfADaemon)
 {
-    for (const double load : {Calm, Busy}) {
+    struct Case
+    {
+        const char *name;
+        double load;
+        bool spills;
+    };
+    for (const Case &each :
+         {Case{"calm", Calm, false}, Case{"busy", Busy, false}, Case{"spilling", Busy, true}}) {
         UsageFleet fleet{Domains, 105};
-        fleet.loadAll(load / 2, 2);
-        for (std::size_t index = 0; load == Busy && index < fleet.size(); index += 10)
+        fleet.loadAll(each.load / 2, 2);
+        for (std::size_t index = 0; each.spills && index < fleet.size(); index += 10)
             fleet.spill(index, 1, 2);
         fleet.time.run(20s);
         std::vector<double> rates;
@@ -330,8 +337,10 @@
             sum += rates[index];
         }
         std::sort(rates.begin(), rates.end());
-        cr_log_info("load %.1f: %.0f bytes/s on average, %.0f at the median, %.0f at most", load,
-                    sum / static_cast<double>(rates.size()), rates[rates.size() / 2], rates.back());
-        cr_assert(load == Busy || rates.back() <= 2000);
+        const double average = sum / static_cast<double>(rates.size());
+        cr_log_info("%s: %.0f bytes/s on average, %.0f at the median, %.0f at most", each.name,
+                    average, rates[rates.size() / 2], rates.back());
+        cr_assert(each.load == Busy || rates.back() <= 2000);
+        cr_assert(each.spills || average <= 2000);
     }
 }
