Admission: refuse at the opening what no target can serve, off by default

Targets refuse whatever meets a full queue, urgent or not. Where the requests in flight for each slot show full queues at all domains, daemons now refuse a share of the openings, the least urgent first, by a rate that follows the queues. The limit of flows is read from the configuration.

--- a/src/core/direct/direct_router.cpp
+++ b/src/core/direct/direct_router.cpp
@@ -2,6 +2,8 @@
 
 #include "core/impl/hash.h"
 
+#include <boost/random/uniform_01.hpp>
+
 #include <algorithm>
 
 namespace baobabtrail {
@@ -54,6 +56,7 @@
     std::erase_if(m_removedRoutes, [&](const auto &item) { return routes->find(item.first); });
     m_routes = std::move(routes);
     m_targets.setColdLimits(m_routes->warmUpLimits);
+    m_targets.setFlowLimits(m_routes->flowLimits);
 }
 
 void DirectRouter::putTarget(const RegisteredTarget &target, TimePoint now)
@@ -149,6 +152,14 @@
         return refuse(segment, m_fresh ? SegmentCause::NoRoute : SegmentCause::StaleView, {});
     const ServiceId service = serviceOf(*route, segment.flow);
     const auto known = m_flows.find(segment.flow);
+    const std::uint32_t priority = route->policy.priority;
+    // A copy shows that the first one was not refused: that would have ended the caller's attempt.
+    if (known == m_flows.end() && segment.retransmits == 0) {
+        const bool admitted = admits(service, priority, now);
+        m_usage.asked(service, priority, admitted);
+        if (!admitted)
+            return refuse(segment, SegmentCause::Overloaded, service);
+    }
     TargetId except;
     if (known != m_flows.end() && known->second.service == service) {
         Flow &flow = known->second;
@@ -171,7 +182,6 @@
         release(known->first, flow);
         m_flows.erase(known);
     }
-    const std::uint32_t priority = route->policy.priority;
     DirectTarget *target = m_targets.choose({service, priority, except}, now, m_random);
     if (!target && !except.isNull())
         target = m_targets.choose({service, priority}, now, m_random);
@@ -182,6 +192,18 @@
                    now);
 }
 
+bool DirectRouter::admits(ServiceId service, std::uint32_t priority, TimePoint now)
+{
+    const AdmissionLevel &level = m_targets.planOf(service).admission;
+    const auto measuredAt = m_planner.measuredAt();
+    const bool isRecent = measuredAt && now - *measuredAt <= MaxAgeForAdmission;
+    if (level.admitsAll() || !isRecent || !m_fresh)
+        return true;
+    if (priority != level.priority)
+        return priority < level.priority;
+    return boost::random::uniform_01<double>{}(m_random) < level.share;
+}
+
 SegmentVerdict DirectRouter::placeAt(DirectTarget &target, const Segment &segment,
                                      ServiceId service, SegmentCause cause, TimePoint now)
 {
@@ -260,6 +282,7 @@
             // is no load there, and its segments are no evidence of the target's health.
             dropHeld(known->first, flow);
             endWork(flow);
+            countClosed(flow);
             flow.state = FlowState::Closing;
             flow.seenAt = now;
             return deliver(*restarted, segment, flow.service, SegmentCause::Forwarded);
@@ -281,6 +304,7 @@
         flow.received = segment.acknowledged;
         flow.openedAt = now;
         ++named->openFlows;
+        countOpen(segment.flow, flow, *named);
         flow.hadRequest = true; // This daemon didn't see the flow open; assume so.
         acknowledged(flow, *named, segment, now);
         if (tryHold(flow, *named, segment, now))
@@ -362,6 +386,7 @@
     target.opening -= target.opening > 0 ? 1 : 0;
     endWork(flow);
     ++target.openFlows;
+    countOpen(segment.flow, flow, target);
     heard(flow, target, now);
     measured(FlowTime::Open, now - flow.openedAt, Duration{0}, segment, flow, target);
 }
@@ -413,6 +438,21 @@
         m_usage.ended(*work, flow.movable);
 }
 
+void DirectRouter::countOpen(const FlowKey &key, Flow &flow, const DirectTarget &target)
+{
+    countClosed(flow);
+    if (m_targets.flowLimitOf(flow.service) == 0)
+        return;
+    flow.openIn = m_usage.partOf(flow.service, target.entry.domain, promiseOf(key).priority);
+    m_usage.flowOpened(*flow.openIn);
+}
+
+void DirectRouter::countClosed(Flow &flow)
+{
+    if (const auto part = std::exchange(flow.openIn, std::nullopt))
+        m_usage.flowEnded(*part);
+}
+
 UsageTable DirectRouter::takeUsage(TimePoint now)
 {
     m_usage.advance(now);
@@ -431,6 +471,7 @@
 {
     dropHeld(key, flow);
     endWork(flow);
+    countClosed(flow);
     DirectTarget *target = targetOf(flow);
     if (!target)
         return;
--- a/src/core/direct/direct_targets.cpp
+++ b/src/core/direct/direct_targets.cpp
@@ -289,7 +289,7 @@
         return;
     for (const TargetId id : found->second) {
         DirectTarget &target = m_targets.at(id);
-        if (id == request.except || !admits(target, now))
+        if (id == request.except || !admits(target, now) || isNearFlowLimit(target))
             continue;
         Candidates &candidates
             = target.local || !has(Mechanism::OwnDomainFirst) ? m_sameDomain : m_otherDomains;
--- a/src/core/direct/direct_targets_plan.cpp
+++ b/src/core/direct/direct_targets_plan.cpp
@@ -79,6 +79,20 @@
     }
 }
 
+std::uint32_t DirectTargets::flowLimitOf(ServiceId service) const noexcept
+{
+    const auto found = m_flowLimits.find(service);
+    return found == m_flowLimits.end() ? 0 : found->second;
+}
+
+bool DirectTargets::isNearFlowLimit(const DirectTarget &target) const noexcept
+{
+    constexpr double near = 0.9;
+    const std::uint32_t limit = flowLimitOf(target.entry.service);
+    const std::uint32_t flows = target.openFlows + target.opening;
+    return m_settings.placement.admit && limit > 0 && flows >= near * limit;
+}
+
 void DirectTargets::applyReservations(const FlowRequest &request,
                                       std::vector<DirectTarget *> &among) const
 {
--- a/src/core/placement/placement_planner.cpp
+++ b/src/core/placement/placement_planner.cpp
@@ -1,5 +1,6 @@
 #include "core/placement/placement_planner.h"
 
+#include "core/placement/admission.h"
 #include "core/placement/reservation.h"
 #include "core/placement/spill.h"
 
@@ -16,7 +17,7 @@
     while (place != load.domains.end() && place->domain < domain)
         ++place;
     if (place == load.domains.end() || place->domain != domain)
-        place = load.domains.insert(place, DomainLoad{domain, 0, 0, 0, 0, {}});
+        place = load.domains.insert(place, DomainLoad{.domain = domain});
     return *place;
 }
 
@@ -31,6 +32,9 @@
         targets.pinned += counted.pinned;
         targets.inFlight += counted.inFlight();
         targets.byPriority[key.priority] += counted.inFlight();
+        targets.flows += counted.flows;
+        if (counted.asked > 0)
+            load.openings[key.priority] += {counted.asked, counted.admitted};
     }
     return out;
 }
@@ -53,6 +57,13 @@
     for (auto &[service, load] : m_loads) {
         for (const auto &[domain, slots] : targets.slotsByDomain(service, now))
             domainOf(load, domain).slots = slots;
+        const std::uint32_t flowLimit = targets.flowLimitOf(service);
+        for (DomainLoad &domain : load.domains) {
+            if (flowLimit > 0)
+                domain.flowLimit
+                    = flowLimit
+                      * static_cast<double>(targets.countTakingFlows(service, domain.domain, now));
+        }
         ServicePlan plan = planFor(load, targets, targets.planOf(service), now);
         if (!plan.empty())
             plans.emplace(service, std::move(plan));
@@ -80,6 +91,8 @@
     ServicePlan plan;
     if (m_settings.spill)
         plan.shares = spillShares(m_home, load, m_settings);
+    if (m_settings.admit && m_measuredAt && now - *m_measuredAt <= MaxAgeForAdmission)
+        plan.admission = admissionFor(load, before.admission, m_settings);
     if (!m_settings.reserve)
         return plan;
     for (const DomainLoad &domain : load.domains) {
--- a/src/core/placement/placement_planner.h
+++ b/src/core/placement/placement_planner.h
@@ -12,6 +12,9 @@
 
 namespace baobabtrail {
 
+/// Older usage is no ground to refuse a flow: targets may be free by now.
+constexpr Duration MaxAgeForAdmission = 1s;
+
 /// \brief The plan of a service has begun, changed or ended.
 struct PlanChange
 {
--- a/src/core/placement/placement_settings.h
+++ b/src/core/placement/placement_settings.h
@@ -7,7 +7,7 @@
 {
     bool spill = true;   ///< Send the excess of a full failure domain to others.
     bool reserve = true; ///< Reserve targets for the urgent while a service is saturated.
-    bool admit = true;   ///< Refuse new flows that no target can serve.
+    bool admit = false;  ///< Refuse new flows that no target can serve.
     /// Requests in flight per slot at which a failure domain counts as full: every slot is in use.
     double fullAt = 1.0;
     /// Requests in flight per slot at which a service counts as saturated in a failure domain: as
@@ -15,6 +15,9 @@
     double saturatedAt = 2.0;
     /// The same at which it no longer counts as saturated.
     double relievedAt = 1.0;
+    /// Requests in flight per slot at which a service's queues count as full: three requests wait
+    /// for each that runs, and the least urgent callers are served sooner by coming again.
+    double queuesFullAt = 4.0;
     /// Requests in flight per reserved slot that are aimed at: few urgent requests meet a full
     /// queue then, and few slots are idle.
     double reservedFill = 1.25;
--- a/src/core/placement/service_plan.h
+++ b/src/core/placement/service_plan.h
@@ -35,7 +35,8 @@
 {
     /// Flows of routes that are more urgent than this are admitted, less urgent ones are refused.
     std::uint32_t priority = RequestPolicy::LowestPriority;
-    double share = 1; ///< Share of the flows of this very priority that is admitted.
+    double share = 1;     ///< Share of the flows of this very priority that is admitted.
+    double perSecond = 0; ///< Limit that decided, of the service at all daemons; 0 for none.
 
     [[nodiscard]] bool admitsAll() const noexcept
     {
@@ -56,7 +57,7 @@
     [[nodiscard]] bool spills() const noexcept { return !shares.empty(); }
     [[nodiscard]] bool empty() const noexcept
     {
-        return shares.empty() && reservations.empty() && admission.admitsAll();
+        return shares.empty() && reservations.empty() && admission == AdmissionLevel{};
     }
 
     friend bool operator==(const ServicePlan &, const ServicePlan &) = default;
--- a/src/ctl/explain_flow.cpp
+++ b/src/ctl/explain_flow.cpp
@@ -134,6 +134,8 @@
           "the caller could ask again"},
     Cause{"route_removed", "the operator removed the route; its flows were ended"},
     Cause{"no_route", "no service had the address, by a view that was fresh"},
+    Cause{"overloaded", "no target could serve a flow of its priority; it was refused at once, and "
+                        "never ran"},
     Cause{"no_target", "the service had no target that took flows"},
     Cause{"stale_view", "the daemon's view was out of date, so it said nothing"},
     Cause{"unknown_label", "the daemon did not know the flow's target"},
--- a/src/daemon/direct/direct_metrics.h
+++ b/src/daemon/direct/direct_metrics.h
@@ -13,10 +13,10 @@
 namespace baobabtrail::daemon {
 
 /// Names of SegmentCause in metric labels and log events.
-inline constexpr std::array<std::string_view, 14> SegmentCauseNames{
+inline constexpr std::array<std::string_view, 15> SegmentCauseNames{
     "forwarded",     "placed",     "offered_again", "repeated",      "moved",
     "no_route",      "stale_view", "no_target",     "route_removed", "target_gone",
-    "unknown_label", "held",       "absorbed",      "given_up"};
+    "unknown_label", "held",       "absorbed",      "given_up",      "overloaded"};
 /// Names of DirectTargetState in metric labels and log events; "trusted" is a healthy target.
 inline constexpr std::array<std::string_view, 7> TargetStateNames{
     "trusted", "suspect", "draining", "evacuated", "lapsed", "gone", "refused"};
