--- a/src/core/placement/admission.cpp
+++ b/src/core/placement/admission.cpp
@@ -9,7 +9,7 @@
 /// Bound on one decrease: the excess that the queues show includes callers who try again.
 constexpr double MaxDecrease = 0.5;
 /// Decrease for each request per slot beyond queues that are filled as intended.
-constexpr double DecreasePerRequest = 0.1;
+constexpr double DecreasePerRequest = 0.15;
 /// Increase of the limit at each decision while queues are short.
 constexpr double Increase = 1.08;
 /// Decrease while the targets' flows are near their limit.
@@ -56,11 +56,11 @@
 {
     if (room.flowsNearLimit)
         return DecreaseByFlows;
-    if (room.perSlot() < settings.saturatedAt)
+    if (room.perSlot() < settings.queuesFullAt - settings.queuesFullBand)
         return Increase;
     if (room.perSlot() <= settings.queuesFullAt)
         return 1;
-    const double aim = (settings.saturatedAt + settings.queuesFullAt) / 2;
+    const double aim = settings.queuesFullAt - settings.queuesFullBand / 2;
     return std::max(MaxDecrease, 1 - DecreasePerRequest * (room.perSlot() - aim));
 }
 
--- a/src/core/placement/placement_settings.h
+++ b/src/core/placement/placement_settings.h
@@ -15,9 +15,11 @@
     double saturatedAt = 2.0;
     /// The same at which it no longer counts as saturated.
     double relievedAt = 1.0;
-    /// Requests in flight per slot at which a service's queues count as full: three requests wait
-    /// for each that runs, and the least urgent callers are served sooner by coming again.
-    double queuesFullAt = 4.0;
+    /// Requests in flight per slot above which a service's queues count as full: more than two wait
+    /// for each that runs, and single targets refuse what finds theirs full.
+    double queuesFullAt = 3.0;
+    /// The same by which they are to stay below that: queues that run empty leave slots idle.
+    double queuesFullBand = 0.5;
     /// Requests in flight per reserved slot that are aimed at: few urgent requests meet a full
     /// queue then, and few slots are idle.
     double reservedFill = 1.25;
