--- a/src/core/placement/admission.cpp
+++ b/src/core/placement/admission.cpp
@@ -11,12 +11,20 @@
 /// Decrease for each request per slot beyond queues that are filled as intended.
 constexpr double DecreasePerRequest = 0.15;
 /// Increase of the limit at each decision while queues are short.
-constexpr double Increase = 1.08;
+constexpr double Increase = 1.05;
 /// Decrease while the targets' flows are near their limit.
 constexpr double DecreaseByFlows = 0.8;
 /// Least share of the openings that is admitted: without new flows nothing would show that the
 /// targets have recovered.
 constexpr double MinShare = 0.05;
+/// Change of the requests in flight per slot between two decisions that shows queues in motion.
+constexpr double Motion = 0.25;
+/// Decisions after a decrease until usage shows its effect: its way up and down the tree of
+/// daemons.
+constexpr std::uint32_t SettlingDecisions = 3;
+/// Rate that was admitted, relative to the limit, up to which usage counts as newer than a
+/// decrease.
+constexpr double NewerThanDecrease = 1.1;
 /// Share of a target's limit of flows at which its domain counts as full. \see DomainLoad::flows
 constexpr double FlowsNearLimit = 0.9;
 
@@ -52,28 +60,42 @@
 }
 
 /// \return Rate of new flows to aim at, relative to the rate that was admitted; 1 for no change.
-[[nodiscard]] double changeFor(const Room &room, const PlacementSettings &settings)
+[[nodiscard]] double changeFor(const Room &room, const AdmissionLevel &before, double admitted,
+                               const PlacementSettings &settings)
 {
+    const bool isSameUsage = before.perSecond > 0 && room.perSlot() == before.perSlot;
+    if (isSameUsage)
+        return 1;
     if (room.flowsNearLimit)
         return DecreaseByFlows;
+    // Queues take longer to drain or to fill than usage does to arrive. Without waiting for the
+    // effect of the last change, the limit would overshoot both ways.
+    const double motion = before.perSecond > 0 ? room.perSlot() - before.perSlot : 0;
     if (room.perSlot() < settings.queuesFullAt - settings.queuesFullBand)
-        return Increase;
-    if (room.perSlot() <= settings.queuesFullAt)
+        return motion <= Motion ? Increase : 1;
+    // Usage from before the last decrease shows a higher rate than that left.
+    const bool settling = before.settling > 0 && admitted <= before.perSecond * NewerThanDecrease;
+    if (room.perSlot() <= settings.queuesFullAt || motion < -Motion || settling)
         return 1;
     const double aim = settings.queuesFullAt - settings.queuesFullBand / 2;
     return std::max(MaxDecrease, 1 - DecreasePerRequest * (room.perSlot() - aim));
 }
 
-/// \return The level that lets through \a limit openings per second, the most urgent ones first.
-[[nodiscard]] AdmissionLevel levelFor(const ServiceLoad &load, double limit)
+/// \return The level that lets through its limit of openings, the most urgent ones first.
+[[nodiscard]] AdmissionLevel levelFor(const ServiceLoad &load, AdmissionLevel level)
 {
-    double left = limit;
+    double left = level.perSecond;
+    level.priority = RequestPolicy::LowestPriority;
+    level.share = 1;
     for (const auto &[priority, openings] : load.openings) {
-        if (openings.asked > left)
-            return {.priority = priority, .share = left / openings.asked, .perSecond = limit};
+        if (openings.asked > left) {
+            level.priority = priority;
+            level.share = left / openings.asked;
+            return level;
+        }
         left -= openings.asked;
     }
-    return {.perSecond = limit};
+    return level;
 }
 
 } // namespace
@@ -87,19 +109,26 @@
     OpeningRate all;
     for (const auto &[priority, openings] : load.openings)
         all += openings;
-    const double change = changeFor(room, settings);
+    const double change = changeFor(room, before, all.admitted, settings);
     const bool limited = before.perSecond > 0;
     if (all.asked <= 0 || (!limited && change >= 1))
         return before;
     double limit = before.perSecond;
     if (change < 1)
         limit = limited ? std::min(limit, all.admitted * change) : all.admitted * change;
-    else if (change > 1)
-        limit = std::max(limit, all.admitted * change);
+    else if (change > 1 && all.admitted * change > limit)
+        limit *= change;
     // Flows near their limit are no ground to refuse the most urgent: their requests find room.
     if (room.flowsNearLimit && load.openings.size() > 1)
         limit = std::max(limit, load.openings.begin()->second.asked);
-    return levelFor(load, std::max(limit, MinShare * all.asked));
+    AdmissionLevel level = before;
+    level.perSecond = std::max(limit, MinShare * all.asked);
+    if (change < 1)
+        level.settling = SettlingDecisions;
+    else if (room.perSlot() != before.perSlot && level.settling > 0)
+        --level.settling;
+    level.perSlot = room.perSlot();
+    return levelFor(load, level);
 }
 
 } // namespace baobabtrail
--- a/src/core/placement/admission.h
+++ b/src/core/placement/admission.h
@@ -13,8 +13,8 @@
 ///
 /// The limit is a rate of new flows, shared out from the most urgent priority to the least. It
 /// begins where queues are full, falls by a share that grows with the excess, and rises slowly
-/// while queues are short (additive increase, multiplicative decrease, as in DAGOR). Rate and
-/// queues come from the same usage, so that deciding again on old usage changes nothing.
+/// while queues are short (as in DAGOR); it stays while queues are in motion. Rate and queues come
+/// from the same usage, so that usage from before a change doesn't change it again.
 ///
 /// \param load With the openings that were asked for and admitted.
 /// \param before Level that was in force until now.
--- a/src/core/placement/placement_settings.h
+++ b/src/core/placement/placement_settings.h
@@ -15,11 +15,11 @@
     double saturatedAt = 2.0;
     /// The same at which it no longer counts as saturated.
     double relievedAt = 1.0;
-    /// Requests in flight per slot above which a service's queues count as full: more than two wait
+    /// Requests in flight per slot above which a service's queues count as full: about three wait
     /// for each that runs, and single targets refuse what finds theirs full.
-    double queuesFullAt = 3.0;
+    double queuesFullAt = 4.0;
     /// The same by which they are to stay below that: queues that run empty leave slots idle.
-    double queuesFullBand = 0.5;
+    double queuesFullBand = 1.0;
     /// Requests in flight per reserved slot that are aimed at: few urgent requests meet a full
     /// queue then, and few slots are idle.
     double reservedFill = 1.25;
--- a/src/core/placement/service_plan.h
+++ b/src/core/placement/service_plan.h
@@ -37,6 +37,9 @@
     std::uint32_t priority = RequestPolicy::LowestPriority;
     double share = 1;     ///< Share of the flows of this very priority that is admitted.
     double perSecond = 0; ///< Limit that decided, of the service at all daemons; 0 for none.
+    double perSlot = 0;   ///< Requests in flight per slot that decided.
+    /// Decisions to come that don't lower the limit, as usage doesn't show the last decrease yet.
+    std::uint32_t settling = 0;
 
     [[nodiscard]] bool admitsAll() const noexcept
     {
