--- a/src/core/placement/admission.cpp
+++ b/src/core/placement/admission.cpp
@@ -74,7 +74,9 @@
     if (room.perSlot() < settings.queuesFullAt - settings.queuesFullBand)
         return motion <= Motion ? Increase : 1;
     // Usage from before the last decrease shows a higher rate than that left.
-    const bool settling = before.settling > 0 && admitted <= before.perSecond * NewerThanDecrease;
+    const bool isFarAbove = room.perSlot() > settings.queuesFullAt + settings.queuesFullBand;
+    const bool settling
+        = before.settling > 0 && !isFarAbove && admitted <= before.perSecond * NewerThanDecrease;
     if (room.perSlot() <= settings.queuesFullAt || motion < -Motion || settling)
         return 1;
     const double aim = settings.queuesFullAt - settings.queuesFullBand / 2;
@@ -123,7 +125,9 @@
         limit = std::max(limit, load.openings.begin()->second.asked);
     AdmissionLevel level = before;
     level.perSecond = std::max(limit, MinShare * all.asked);
-    if (change < 1)
+    // Queues that were still filling when they showed the begin of the load have to be seen once
+    // more.
+    if (change < 1 && limited)
         level.settling = SettlingDecisions;
     else if (room.perSlot() != before.perSlot && level.settling > 0)
         --level.settling;
