--- a/src/core/direct/direct_router.cpp
+++ b/src/core/direct/direct_router.cpp
@@ -56,7 +56,8 @@
     std::erase_if(m_removedRoutes, [&](const auto &item) { return routes->find(item.first); });
     m_routes = std::move(routes);
     m_targets.setColdLimits(m_routes->warmUpLimits);
-    m_targets.setFlowLimits(m_routes->flowLimits);
+    if (m_settings.placement.admit)
+        m_targets.setFlowLimits(m_routes->flowLimits);
 }
 
 void DirectRouter::putTarget(const RegisteredTarget &target, TimePoint now)
@@ -156,7 +157,8 @@
     // A copy shows that the first one was not refused: that would have ended the caller's attempt.
     if (known == m_flows.end() && segment.retransmits == 0) {
         const bool admitted = admits(service, priority, now);
-        m_usage.asked(service, priority, admitted);
+        if (m_settings.placement.admit)
+            m_usage.asked(service, priority, admitted);
         if (!admitted)
             return refuse(segment, SegmentCause::Overloaded, service);
     }
