--- a/src/core/usage/usage_exchange.cpp
+++ b/src/core/usage/usage_exchange.cpp
@@ -157,10 +157,10 @@
 {
     // The last report ends by the interval that it stated.
     const Duration current = std::min(m_promised, interval());
-    return {current * 4 / 5, current * 9 / 10, current, current * 5 / 4};
+    return {current * 4 / 5, current, current * 5 / 4};
 }
 
-// All daemons without followers report shortly after the same total has reached them, and the
+// All daemons without followers report one interval after the same total has reached them, and the
 // others as soon as all their followers have: so the reports go up the tree as one wave, and the
 // levels of the tree add no time.
 void UsageExchange::schedule()
@@ -171,7 +171,7 @@
     if (!m_children.empty())
         at = m_reportedAt + (m_children.allNew() ? times.earliest : times.latest);
     else if (m_totalAt > m_reportedAt)
-        at = std::clamp(m_totalAt + times.afterTotal, m_reportedAt + times.earliest,
+        at = std::clamp(m_totalAt + times.usual, m_reportedAt + times.earliest,
                         m_reportedAt + times.latest);
     if (at <= now)
         return report();
--- a/src/core/usage/usage_exchange.h
+++ b/src/core/usage/usage_exchange.h
@@ -96,12 +96,11 @@
         Duration interval{0}; ///< Until the next one.
     };
 
-    /// \brief When to report: times after the last report, but for \a afterTotal.
+    /// \brief When to report: times after the last report.
     struct Timing
     {
         Duration earliest{0};
-        Duration afterTotal{0}; ///< After a total has come, without followers.
-        Duration usual{0};
+        Duration usual{0};  ///< Also after a total has come, without followers.
         Duration latest{0}; ///< Where reports of followers are missing.
     };
 
