A lapse also outlives outages that the daemon didn't see

A daemon that loses its source begins to ask the store itself and finds it well at once; the calls of one that asks seldom lie further apart than an outage; a source that has started since knows of no return.

Whatever way an outage passed unseen, one of the two was there: the daemon asked before and heard nothing for longer, or it has only begun to ask.

Suites directory (66), direct (54) and daemon (26) pass.

--- a/src/core/directory/collection_copy.cpp
+++ b/src/core/directory/collection_copy.cpp
@@ -16,6 +16,10 @@
 /// Size of replaced values that are retained as bases of patches: two of the largest objects that
 /// the store holds. A follower that lags further gets the whole value.
 constexpr std::size_t MaxReplacedBytes = 2 << 20;
+/// An outage may have passed unseen where nothing was heard of the store for longer: a daemon that
+/// loses its source calls the store itself and finds it available again. Above the age at which a
+/// copy is stale, which a change of the source may take.
+constexpr Duration MaxSilence = 2500ms;
 
 } // namespace
 
@@ -170,9 +174,14 @@
     m_confirmedAt = std::max(m_confirmedAt.value_or(when), when);
 }
 
+bool CollectionCopy::silentUntil(TimePoint when) const noexcept
+{
+    return m_confirmedAt && when - *m_confirmedAt > MaxSilence;
+}
+
 void CollectionCopy::storeAnswered(TimePoint when) noexcept
 {
-    if (std::exchange(m_storeFailedAt, std::nullopt))
+    if (std::exchange(m_storeFailedAt, std::nullopt) || silentUntil(when))
         m_storeReturnedAt = when;
 }
 
@@ -180,6 +189,9 @@
 {
     if (m_storeFailedAt && *m_storeFailedAt < asOf)
         m_storeFailedAt.reset();
+    // The other daemon may have started after the store's return.
+    if (!returned && silentUntil(asOf))
+        returned = asOf;
     if (returned)
         m_storeReturnedAt = std::max(m_storeReturnedAt.value_or(*returned), *returned);
 }
--- a/src/core/directory/collection_copy.h
+++ b/src/core/directory/collection_copy.h
@@ -117,6 +117,8 @@
         bool afterOutage = false;
     };
 
+    /// \return Whether the store was not heard of for so long that it may have been unavailable.
+    [[nodiscard]] bool silentUntil(TimePoint when) const noexcept;
     void recordChange(const CollectionChange &change);
     void retainReplaced(StoredObject object);
 
--- a/src/core/directory/store_feed.cpp
+++ b/src/core/directory/store_feed.cpp
@@ -56,6 +56,8 @@
     m_running = true;
     m_lowRate = lowRate;
     m_confirmOnly = true;
+    // Not called before, so it may have been unavailable unnoticed.
+    m_copy.storeFailed(m_callbacks.now());
     if (m_copy.complete())
         watch();
     else
--- a/tests/directory/lapse_test.cpp
+++ b/tests/directory/lapse_test.cpp
@@ -110,3 +110,23 @@
         cr_assert_eq(all.countWith(DirectTargetState::Gone), all.cluster.size());
     }
 }
+
+// Guards against targets that count as lapsed for seconds after the loss of their domain, while the
+// store was available all along.
+Test(lapse, removalAfterADomainLossIsNoLapse)
+{
+    for (Duration phase = 0ms; phase < 1600ms; phase += 200ms) {
+        LapseCluster all{8};
+        DirectCluster &cluster = all.cluster;
+        cluster.time.run(phase);
+        const std::set<std::size_t> lost{0, 3, 6};
+        for (const std::size_t index : lost) {
+            cluster.withoutPower.insert(index);
+            cluster.kill(index);
+        }
+        cluster.time.run(3s);
+        cluster.store.erase(DirectCluster::targetKey(Lapsing));
+        cluster.time.run(500ms);
+        cr_assert_eq(all.reportedGone.size() + lost.size(), cluster.size());
+    }
+}
