Reserve targets for the urgent while a service is saturated

Cause: targets refuse whatever meets a full queue, urgent or not, so that an overload by the less urgent takes the urgent with it.

Change: reservationFor() decides how many targets of a failure domain only urgent routes use; DirectTargets applies it for each domain by itself.

--- a/src/core/direct/direct_targets.h
+++ b/src/core/direct/direct_targets.h
@@ -241,8 +241,8 @@
     void collectCandidates(const FlowRequest &request, TimePoint now);
     /// \brief Marks the targets that the plan reserves, the same ones at all daemons.
     void markReserved(ServiceId service, const ServicePlan &plan, TimePoint now);
-    /// \brief Keeps the reserved targets for the requests of their priority, as long as that
-    /// leaves a target.
+    /// \brief Keeps the reserved targets of each failure domain for the requests of their priority,
+    /// as long as that leaves a target there.
     void applyReservations(const FlowRequest &request, std::vector<DirectTarget *> &among) const;
     /// \return The least loaded target of the failure domain that the plan draws; null where it
     /// draws none, or one without a target.
--- a/src/core/direct/direct_targets_plan.cpp
+++ b/src/core/direct/direct_targets_plan.cpp
@@ -7,6 +7,8 @@
 #include <boost/random/uniform_01.hpp>
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 #include <utility>
 
 namespace baobabtrail {
@@ -91,8 +93,16 @@
             return true;
         return target->reserved == (request.priority <= found->second.priority);
     };
-    if (std::any_of(among.begin(), among.end(), isMeant))
-        std::erase_if(among, [&](const DirectTarget *target) { return !isMeant(target); });
+    // For each domain by itself: where the reserved targets of one take no flows, its other targets
+    // serve the urgent, and the reverse.
+    std::set<std::string_view> served;
+    for (const DirectTarget *target : among) {
+        if (isMeant(target))
+            served.insert(target->entry.domain);
+    }
+    std::erase_if(among, [&](const DirectTarget *target) {
+        return served.contains(target->entry.domain) && !isMeant(target);
+    });
 }
 
 DirectTarget *DirectTargets::chooseByShares(ServiceId service, TimePoint now, Random &random)
--- a/src/core/placement/placement_settings.h
+++ b/src/core/placement/placement_settings.h
@@ -10,14 +10,14 @@
     bool admit = true;   ///< Refuse new flows that no target can serve.
     /// Requests in flight per slot at which a failure domain counts as full: every slot is in use.
     double fullAt = 1.0;
-    /// Requests in flight per slot at which a service counts as saturated in a failure domain: as
-    /// many requests wait as run, and a burst finds full queues.
-    double saturatedAt = 2.0;
-    /// The same at which it no longer counts as saturated.
-    double relievedAt = 1.0;
-    /// Requests in flight per reserved slot that are aimed at: few urgent requests meet a full
-    /// queue then, and few slots are idle.
-    double reservedFill = 1.25;
+    /// Requests in flight per slot at which a service counts as saturated in a failure domain: more
+    /// requests wait or are under way than run, and a burst finds full queues.
+    double saturatedAt = 3.0;
+    /// The same at which it no longer counts as saturated: few requests wait.
+    double relievedAt = 2.0;
+    /// Requests in flight per reserved slot that are aimed at, of which one runs and the others
+    /// wait or are under way: few urgent requests meet a full queue then, and few slots are idle.
+    double reservedFill = 3.0;
 };
 
 } // namespace baobabtrail
--- a/src/core/placement/service_plan.h
+++ b/src/core/placement/service_plan.h
@@ -24,9 +24,14 @@
 {
     /// Routes of this priority or a more urgent one use the reserved targets, all others don't.
     std::uint32_t priority = 0;
-    std::size_t targets = 0; ///< Number of reserved targets; 0 for none.
+    std::size_t targets = 0;        ///< Number of reserved targets; 0 for none.
+    std::uint32_t unchangedFor = 0; ///< Decisions since the number has changed.
 
-    friend bool operator==(const Reservation &, const Reservation &) noexcept = default;
+    /// \return Whether both reserve the same.
+    friend bool operator==(const Reservation &a, const Reservation &b) noexcept
+    {
+        return a.priority == b.priority && a.targets == b.targets;
+    }
 };
 
 /// \brief Which new flows of a service are admitted; the others are refused before a target sees
