--- a/src/core/placement/placement_settings.h
+++ b/src/core/placement/placement_settings.h
@@ -13,19 +13,19 @@
     /// Requests in flight per slot up to which a failure domain takes the excess of others: its own
     /// callers still find short queues.
     double spillUpTo = 1.5;
-    /// Requests in flight per slot at which a service counts as saturated in a failure domain: as
-    /// many requests wait as run, and a burst finds full queues.
-    double saturatedAt = 2.0;
-    /// The same at which it no longer counts as saturated.
-    double relievedAt = 1.0;
+    /// Requests in flight per slot at which a service counts as saturated in a failure domain: more
+    /// requests wait or are under way than run, and a burst finds full queues.
+    double saturatedAt = 3.0;
+    /// The same at which it no longer counts as saturated: few requests wait.
+    double relievedAt = 2.0;
     /// Requests in flight per slot above which a service's queues count as full: about three wait
     /// for each that runs, and single targets refuse what finds theirs full.
     double queuesFullAt = 4.0;
     /// The same by which they are to stay below that: queues that run empty leave slots idle.
     double queuesFullBand = 1.0;
-    /// Requests in flight per reserved slot that are aimed at: few urgent requests meet a full
-    /// queue then, and few slots are idle.
-    double reservedFill = 1.25;
+    /// Requests in flight per reserved slot that are aimed at, of which one runs and the others
+    /// wait or are under way: few urgent requests meet a full queue then, and few slots are idle.
+    double reservedFill = 3.0;
 };
 
 } // namespace baobabtrail
