--- a/src/core/placement/admission.cpp
+++ b/src/core/placement/admission.cpp
@@ -6,8 +6,10 @@
 
 namespace {
 
-/// Bound on one decrease: the excess that the queues show includes callers who try again.
-constexpr double MaxDecrease = 0.5;
+/// Bounds on one decrease: the excess that the queues show includes callers who try again, the more
+/// of them the longer nothing was refused.
+constexpr double MinFirstChange = 0.35;
+constexpr double MinLaterChange = 0.5;
 /// Decrease for each request per slot beyond queues that are filled as intended.
 constexpr double DecreasePerRequest = 0.15;
 /// Increase of the limit at each decision while queues are short.
@@ -80,7 +82,8 @@
     if (room.perSlot() <= settings.queuesFullAt || motion < -Motion || settling)
         return 1;
     const double aim = settings.queuesFullAt - settings.queuesFullBand / 2;
-    return std::max(MaxDecrease, 1 - DecreasePerRequest * (room.perSlot() - aim));
+    const double least = before.perSecond > 0 ? MinLaterChange : MinFirstChange;
+    return std::max(least, 1 - DecreasePerRequest * (room.perSlot() - aim));
 }
 
 /// \return The level that lets through its limit of openings, the most urgent ones first.
--- a/tests/placement/admission_replay_test.cpp
+++ b/tests/placement/admission_replay_test.cpp
@@ -76,3 +76,16 @@
 {
     cr_assert(play(burst(true), 2.0, 1, true).load.refusedByDaemons == 0);
 }
+
+// Guards against refusals that serve callers worse than none.
+Test(admissionReplay, noFewerRequestsAreInTimeThanWithout)
+{
+    for (const double load : {1.2, 1.5, 2.0}) {
+        for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+            const double with = play(burst(true), load, seed).load.shareInTime();
+            const double without = play(burst(false), load, seed).load.shareInTime();
+            cr_assert(with >= without, "load %g seed %d: %g, %g", load, static_cast<int>(seed),
+                      with, without);
+        }
+    }
+}
