Urgent flows that the reserved targets can't carry use all targets

Change: a reservation states the share of the urgent flows that it carries, the others choose among all targets.

--- a/src/core/direct/direct_targets.cpp
+++ b/src/core/direct/direct_targets.cpp
@@ -1,5 +1,6 @@
 #include "core/direct/direct_targets.h"
 
+#include <boost/random/uniform_01.hpp>
 #include <boost/random/uniform_int_distribution.hpp>
 
 #include <algorithm>
@@ -279,7 +280,7 @@
     return best;
 }
 
-void DirectTargets::collectCandidates(const FlowRequest &request, TimePoint now)
+void DirectTargets::collectCandidates(const FlowRequest &request, double drawn, TimePoint now)
 {
     m_sameDomain.clear();
     m_otherDomains.clear();
@@ -305,7 +306,7 @@
     }
     for (Candidates *candidates : {&m_sameDomain, &m_otherDomains}) {
         addLapsed(*candidates);
-        applyReservations(request, candidates->known);
+        applyReservations(request, drawn, candidates->known);
     }
 }
 
@@ -334,7 +335,9 @@
 
 DirectTarget *DirectTargets::choose(const FlowRequest &request, TimePoint now, Random &random)
 {
-    collectCandidates(request, now);
+    const bool draws = !planOf(request.service).reservations.empty();
+    const double drawn = draws ? boost::random::uniform_01<double>{}(random) : 0;
+    collectCandidates(request, drawn, now);
     DirectTarget *best = chooseByShares(request.service, now, random);
     if (!best)
         best = chooseByOwnCounts(now, random);
--- a/src/core/direct/direct_targets.h
+++ b/src/core/direct/direct_targets.h
@@ -247,12 +247,15 @@
                               TimePoint now) const noexcept;
     [[nodiscard]] double averageAnswer(const std::vector<DirectTarget *> &among) const noexcept;
     /// \brief Sorts the service's targets into the candidates for a new flow.
-    void collectCandidates(const FlowRequest &request, TimePoint now);
+    /// \param drawn Random number from 0 to 1; decides whether an urgent flow uses reserved targets
+    /// alone. \see Reservation::share
+    void collectCandidates(const FlowRequest &request, double drawn, TimePoint now);
     /// \brief Marks the targets that the plan reserves, the same ones at all daemons.
     void markReserved(ServiceId service, const ServicePlan &plan, TimePoint now);
     /// \brief Keeps the reserved targets of each failure domain for the requests of their priority,
     /// as long as that leaves a target there.
-    void applyReservations(const FlowRequest &request, std::vector<DirectTarget *> &among) const;
+    void applyReservations(const FlowRequest &request, double drawn,
+                           std::vector<DirectTarget *> &among) const;
     /// \return The least loaded target of the failure domain that the plan draws; null where it
     /// draws none, or one without a target.
     [[nodiscard]] DirectTarget *chooseByShares(ServiceId service, TimePoint now, Random &random);
--- a/src/core/direct/direct_targets_plan.cpp
+++ b/src/core/direct/direct_targets_plan.cpp
@@ -95,7 +95,7 @@
     return m_settings.placement.admit && limit > 0 && flows >= near * limit;
 }
 
-void DirectTargets::applyReservations(const FlowRequest &request,
+void DirectTargets::applyReservations(const FlowRequest &request, double drawn,
                                       std::vector<DirectTarget *> &among) const
 {
     const ServicePlan &plan = planOf(request.service);
@@ -105,7 +105,10 @@
         const auto found = plan.reservations.find(target->entry.domain);
         if (found == plan.reservations.end())
             return true;
-        return target->reserved == (request.priority <= found->second.priority);
+        const bool isUrgent = request.priority <= found->second.priority;
+        if (isUrgent && drawn >= found->second.share)
+            return true;
+        return target->reserved == isUrgent;
     };
     // For each domain by itself: where the reserved targets of one take no flows, its other targets
     // serve the urgent, and the reverse.
--- a/src/core/placement/reservation.cpp
+++ b/src/core/placement/reservation.cpp
@@ -68,6 +68,13 @@
     return std::max<std::size_t>(static_cast<std::size_t>(std::ceil(need)), 1);
 }
 
+/// \return Share of the urgent flows that fit into the reserved targets. All of them there would
+/// find full queues until the reservation has grown.
+[[nodiscard]] double carriedShare(std::size_t reserved, double need) noexcept
+{
+    return need > 0 ? std::min(1.0, static_cast<double>(reserved) / need) : 1;
+}
+
 /// \return The number of targets that follows a reservation of the same priority.
 [[nodiscard]] std::size_t countAfter(const Reservation &before, double need)
 {
@@ -130,7 +137,8 @@
         if (need.priority == before.priority) {
             const std::size_t count = std::min(countAfter(before, need.targets), most);
             const bool unchanged = count == before.targets;
-            return {need.priority, count, unchanged ? before.unchangedFor + 1 : 0};
+            return {need.priority, count, unchanged ? before.unchangedFor + 1 : 0,
+                    carriedShare(count, need.targets)};
         }
     }
     // At the beginning, and with another boundary, the urgent work still waits in full queues. Its
@@ -140,7 +148,8 @@
     if (needs.empty())
         return {};
     const Need need = chosen(needs, most, before);
-    return {need.priority, std::min(targetsFor(need.targets), most)};
+    const std::size_t count = std::min(targetsFor(need.targets), most);
+    return {need.priority, count, 0, carriedShare(count, need.targets)};
 }
 
 } // namespace baobabtrail
--- a/src/core/placement/service_plan.h
+++ b/src/core/placement/service_plan.h
@@ -26,6 +26,8 @@
     std::uint32_t priority = 0;
     std::size_t targets = 0;        ///< Number of reserved targets; 0 for none.
     std::uint32_t unchangedFor = 0; ///< Decisions since the number has changed.
+    /// Share of the urgent flows that the reserved targets carry; the others use all targets.
+    double share = 1;
 
     /// \return Whether both reserve the same.
     friend bool operator==(const Reservation &a, const Reservation &b) noexcept
--- a/tests/placement/reservation_test.cpp
+++ b/tests/placement/reservation_test.cpp
@@ -181,3 +181,14 @@
     }
     cr_assert(SlotsPerTarget * static_cast<double>(now.targets) > Demand);
 }
+
+// Guards against urgent requests that meet full queues on a reservation that is still too small
+// while other targets have room.
+Test(reservation, whatTheReservedTargetsCanNotCarryUsesAllTargets)
+{
+    const Reservation enough = decide({{Urgent, 20}, {Plain, 100}}, {Urgent, 10});
+    cr_assert_float_eq(enough.share, 1, 1e-9);
+    const Reservation small = decide({{Urgent, 120}, {Plain, 60}}, {Urgent, 2});
+    cr_assert(small.share > 0 && small.share < 0.5, "%g", small.share);
+    cr_assert(decide({{Urgent, 199}, {Plain, 1}}).share < 1);
+}
