Plan once for a report; count lapsed targets as capacity; spill up to saturation

Cause, from a review by somebody who had not written it: a reservation could take two steps by one report, since the view is applied again each second; a domain whose first target has registered again after an outage looked several times full; after a stall the first average spanned the stall; a bound of spill below fullAt was accepted.

Change: the planner takes one step a view; DirectTargets::capacityOf counts what choose() would use, and replaces two passes over the targets; reset() drops the average; spillUpTo is 3, where a domain counts as saturated, and is checked.

Suites placement, direct, usage, settings and explain pass.

--- a/src/core/direct/direct_node.h
+++ b/src/core/direct/direct_node.h
@@ -304,7 +304,7 @@
     UsageContact m_usageContact; ///< Last noticed.
     /// Slots of services with work, by failure domain; dropped each second. Counting them for each
     /// report would cost too much.
-    std::map<ServiceId, std::map<std::string, double>> m_slots;
+    std::map<ServiceId, std::map<std::string, DomainCapacity>> m_slots;
     UsageContact m_lastUsage; ///< Of the present view, or the last one.
     TimePoint m_usageMeasuredAt{};
     TimePoint m_notifiedConfirmedAt{}; ///< Confirmation last reported to followers.
--- a/src/core/direct/direct_node_usage.cpp
+++ b/src/core/direct/direct_node_usage.cpp
@@ -55,13 +55,13 @@
         work[key.service][key.targets] += part.inFlight();
     for (const auto &[service, domains] : work) {
         const auto [cached, isNew] = m_slots.try_emplace(service);
-        std::map<std::string, double> &slots = cached->second;
+        std::map<std::string, DomainCapacity> &slots = cached->second;
         if (isNew)
-            slots = m_router.targets().slotsByDomain(service, m_callbacks.feed.now());
+            slots = m_router.targets().capacityOf(service, m_callbacks.feed.now());
         for (const auto &[domain, inFlight] : domains) {
             const auto found = slots.find(domain);
             // Without slots there is nothing that more frequent reports could help to share.
-            if (found != slots.end() && inFlight >= m_settings.usage.busyAt * found->second)
+            if (found != slots.end() && inFlight >= m_settings.usage.busyAt * found->second.slots)
                 return true;
         }
     }
--- a/src/core/direct/direct_targets.h
+++ b/src/core/direct/direct_targets.h
@@ -115,6 +115,13 @@
     TargetId except{}; ///< Target that the flow moves away from; null id for none.
 };
 
+/// \brief Targets of a service in one failure domain that may get new flows.
+struct DomainCapacity
+{
+    std::size_t targets = 0;
+    double slots = 0; ///< Of all these together.
+};
+
 /// \brief All targets in the directory: their states, and the choice of one for a new flow.
 class DirectTargets
 {
@@ -190,12 +197,9 @@
                                               TimePoint now);
     /// \return The plan of the service; an empty one where it has none.
     [[nodiscard]] const ServicePlan &planOf(ServiceId service) const noexcept;
-    /// \return Slots of the service's targets that take new flows, by failure domain.
-    [[nodiscard]] std::map<std::string, double> slotsByDomain(ServiceId service,
-                                                              TimePoint now) const;
-    /// \return Number of the service's targets in the failure domain that take new flows.
-    [[nodiscard]] std::size_t countTakingFlows(ServiceId service, const std::string &domain,
-                                               TimePoint now) const;
+    /// \return What the service's targets that may get new flows offer, by failure domain.
+    [[nodiscard]] std::map<std::string, DomainCapacity> capacityOf(ServiceId service,
+                                                                   TimePoint now) const;
 
     [[nodiscard]] DirectTargetState state(const DirectTarget &target) const noexcept;
     /// \return Whether it gives no answers, also where state() names another state, such as
--- a/src/core/direct/direct_targets_plan.cpp
+++ b/src/core/direct/direct_targets_plan.cpp
@@ -31,32 +31,33 @@
     return found == m_plans.end() ? none : found->second;
 }
 
-std::map<std::string, double> DirectTargets::slotsByDomain(ServiceId service, TimePoint now) const
+// As choose() has it, lapsed targets count while they are the majority: after an outage of the
+// store the first target that registers again would otherwise look several times full.
+std::map<std::string, DomainCapacity> DirectTargets::capacityOf(ServiceId service,
+                                                                TimePoint now) const
 {
-    std::map<std::string, double> out;
+    std::map<std::string, DomainCapacity> known;
+    std::map<std::string, DomainCapacity> lapsed;
     const auto found = m_services.find(service);
     if (found == m_services.end())
-        return out;
+        return known;
     for (const TargetId id : found->second) {
         const DirectTarget &target = m_targets.at(id);
-        if (takesFlows(target, now))
-            out[target.entry.domain] += std::max<std::uint32_t>(target.entry.slots, 1);
+        const bool takes = takesFlows(target, now);
+        if (!takes && (state(target) != DirectTargetState::Lapsed || target.unanswered > 0))
+            continue;
+        DomainCapacity &capacity = (takes ? known : lapsed)[target.entry.domain];
+        ++capacity.targets;
+        capacity.slots += std::max<std::uint32_t>(target.entry.slots, 1);
     }
-    return out;
-}
-
-std::size_t DirectTargets::countTakingFlows(ServiceId service, const std::string &domain,
-                                            TimePoint now) const
-{
-    const auto found = m_services.find(service);
-    if (found == m_services.end())
-        return 0;
-    const auto counts = [&](TargetId id) {
-        const DirectTarget &target = m_targets.at(id);
-        return target.entry.domain == domain && takesFlows(target, now);
-    };
-    return static_cast<std::size_t>(
-        std::count_if(found->second.begin(), found->second.end(), counts));
+    for (const auto &[domain, capacity] : lapsed) {
+        DomainCapacity &all = known[domain];
+        if (!has(Mechanism::LapsedAlike) || capacity.targets <= all.targets)
+            continue;
+        all.targets += capacity.targets;
+        all.slots += capacity.slots;
+    }
+    return known;
 }
 
 // The order comes from the ids alone, so that daemons whose counts differ a little reserve the same
--- a/src/core/placement/placement_planner.cpp
+++ b/src/core/placement/placement_planner.cpp
@@ -39,6 +39,17 @@
     return out;
 }
 
+void addCapacity(ServiceLoad &load, const DirectTargets &targets, TimePoint now)
+{
+    for (const auto &[name, capacity] : targets.capacityOf(load.service, now)) {
+        DomainLoad &domain = domainOf(load, name);
+        domain.targets = capacity.targets;
+        domain.slots = capacity.slots;
+        domain.flowLimit = static_cast<double>(targets.flowLimitOf(load.service))
+                           * static_cast<double>(capacity.targets);
+    }
+}
+
 /// \return Whether both plans do the same, though maybe not for the same share of the flows.
 [[nodiscard]] bool alike(const ServicePlan &a, const ServicePlan &b)
 {
@@ -51,20 +62,13 @@
 void PlacementPlanner::update(const UsageView *view, DirectTargets &targets, TimePoint now,
                               const std::function<void(const PlanChange &)> &changed)
 {
+    const bool isNew = view && m_measuredAt != view->measuredAt;
     m_loads = view ? loadsOf(view->usage) : std::map<ServiceId, ServiceLoad>{};
     m_measuredAt = view ? std::optional{view->measuredAt} : std::nullopt;
     std::map<ServiceId, ServicePlan> plans;
     for (auto &[service, load] : m_loads) {
-        for (const auto &[domain, slots] : targets.slotsByDomain(service, now))
-            domainOf(load, domain).slots = slots;
-        const std::uint32_t flowLimit = targets.flowLimitOf(service);
-        for (DomainLoad &domain : load.domains) {
-            if (flowLimit > 0)
-                domain.flowLimit
-                    = flowLimit
-                      * static_cast<double>(targets.countTakingFlows(service, domain.domain, now));
-        }
-        ServicePlan plan = planFor(load, targets, targets.planOf(service), now);
+        addCapacity(load, targets, now);
+        ServicePlan plan = planFor(load, targets.planOf(service), isNew, now);
         if (!plan.empty())
             plans.emplace(service, std::move(plan));
     }
@@ -85,21 +89,28 @@
     }
 }
 
-ServicePlan PlacementPlanner::planFor(const ServiceLoad &load, const DirectTargets &targets,
-                                      const ServicePlan &before, TimePoint now) const
+// Reservations and admission go step by step, each once for a report: the same one again doesn't
+// show what the last step has changed.
+ServicePlan PlacementPlanner::planFor(const ServiceLoad &load, const ServicePlan &before,
+                                      bool isNew, TimePoint now) const
 {
     ServicePlan plan;
     if (m_settings.spill)
         plan.shares = spillShares(m_home, load, m_settings);
-    if (m_settings.admit && m_measuredAt && now - *m_measuredAt <= MaxAgeForAdmission)
-        plan.admission = admissionFor(load, before.admission, m_settings);
+    const bool isRecent = m_measuredAt && now - *m_measuredAt <= MaxAgeForAdmission;
+    if (m_settings.admit && isRecent)
+        plan.admission
+            = isNew ? admissionFor(load, before.admission, m_settings) : before.admission;
     if (!m_settings.reserve)
         return plan;
+    if (!isNew) {
+        plan.reservations = before.reservations;
+        return plan;
+    }
     for (const DomainLoad &domain : load.domains) {
         const auto old = before.reservations.find(domain.domain);
-        const std::size_t count = targets.countTakingFlows(load.service, domain.domain, now);
         const Reservation reservation = reservationFor(
-            domain, count, old == before.reservations.end() ? Reservation{} : old->second,
+            domain, domain.targets, old == before.reservations.end() ? Reservation{} : old->second,
             m_settings);
         if (reservation.targets > 0)
             plan.reservations.emplace(domain.domain, reservation);
--- a/src/core/placement/placement_planner.h
+++ b/src/core/placement/placement_planner.h
@@ -40,8 +40,8 @@
 
     /// \brief Plans anew for every service with usage.
     /// \param view Null where it is unknown or too old.
-    /// \param changed Called where a plan begins or ends to spill, or its reservations change; not
-    /// for each change of the shares.
+    /// \param changed Called where a plan starts or stops spilling or refusing, or its
+    /// reservations change; not for each change of the shares.
     void update(const UsageView *view, DirectTargets &targets, TimePoint now,
                 const std::function<void(const PlanChange &)> &changed);
 
@@ -51,8 +51,9 @@
     [[nodiscard]] std::optional<TimePoint> measuredAt() const noexcept { return m_measuredAt; }
 
 private:
-    [[nodiscard]] ServicePlan planFor(const ServiceLoad &load, const DirectTargets &targets,
-                                      const ServicePlan &before, TimePoint now) const;
+    /// \param isNew Whether the usage was not planned for yet.
+    [[nodiscard]] ServicePlan planFor(const ServiceLoad &load, const ServicePlan &before,
+                                      bool isNew, TimePoint now) const;
 
     std::string m_home;
     PlacementSettings m_settings;
--- a/src/core/placement/placement_settings.h
+++ b/src/core/placement/placement_settings.h
@@ -10,9 +10,9 @@
     bool admit = false;  ///< Refuse new flows that no target can serve.
     /// Requests in flight per slot at which a failure domain counts as full: every slot is in use.
     double fullAt = 1.0;
-    /// Requests in flight per slot up to which a failure domain takes the excess of others: its own
-    /// callers still find short queues.
-    double spillUpTo = 1.5;
+    /// Requests in flight per slot up to which a failure domain takes the excess of others: beyond
+    /// that its own callers would find full queues.
+    double spillUpTo = 3.0;
     /// Requests in flight per slot at which a service counts as saturated in a failure domain: more
     /// requests wait or are under way than run, and a burst finds full queues.
     double saturatedAt = 3.0;
--- a/src/core/placement/service_load.h
+++ b/src/core/placement/service_load.h
@@ -13,7 +13,8 @@
 struct DomainLoad
 {
     std::string domain;
-    double slots = 0;    ///< Of the targets here that take new flows.
+    std::size_t targets = 0; ///< That may get new flows here.
+    double slots = 0;        ///< Of the targets here that take new flows.
     double movable = 0;  ///< Movable work in flight of the callers that enter here, wherever it is.
     double pinned = 0;   ///< Pinned work in flight at the targets here.
     double inFlight = 0; ///< All work in flight at the targets here.
--- a/src/core/usage/usage_exchange.cpp
+++ b/src/core/usage/usage_exchange.cpp
@@ -143,6 +143,8 @@
     m_siblings.clear();
     m_measured.clear();
     m_measuredSeconds = 0;
+    // The average over the stall says nothing of the time after it.
+    (void)m_callbacks.take();
     m_ownAt = m_callbacks.now();
     m_ignoreUntil = m_callbacks.now() + SettleTime;
     dropView();
--- a/src/daemon/settings/direct_settings_reader.cpp
+++ b/src/daemon/settings/direct_settings_reader.cpp
@@ -71,6 +71,8 @@
     reader.real("saturatedAt", out.saturatedAt, 0.1, 100.0);
     reader.real("relievedAt", out.relievedAt, 0.1, 100.0);
     reader.real("reservedFill", out.reservedFill, 0.1, 100.0);
+    if (out.spillUpTo < out.fullAt)
+        reader.addFinding("spillUpTo", "must not be less than placement.fullAt");
     if (out.relievedAt > out.saturatedAt)
         reader.addFinding("relievedAt", "must not be greater than placement.saturatedAt");
 }
