Show answer times in the load table; names and comments after a newcomer's read

Cause: answer times were reported but shown nowhere; a limit and a text function stood twice; factors and amounts of admission had names alike.

Change: column answer-ms of show load; FlowLimitShare and decimals() once; a test that spill writes one log line at its begin and one at its end.

--- a/src/core/direct/direct_node.h
+++ b/src/core/direct/direct_node.h
@@ -122,7 +122,7 @@
     std::function<void(const Segment &, const std::string &payload, const SegmentVerdict &)>
         applyVerdict;
     std::function<void()> ready; ///< Called once the directory is complete; may be empty.
-    /// Sends a usage report to another daemon; empty where reports are disabled.
+    /// Sends a usage report to another daemon; empty where there is no address for reports.
     std::function<void(const Endpoint &to, const UsageMessage &report)> sendUsage;
     /// \return Where a peer sends and receives usage reports; empty where that is at its address.
     std::function<Endpoint(const Endpoint &peer)> usageAddressOf;
--- a/src/core/direct/direct_targets.h
+++ b/src/core/direct/direct_targets.h
@@ -254,7 +254,7 @@
     /// \param drawn Random number from 0 to 1; decides whether an urgent flow uses reserved targets
     /// alone. \see Reservation::share
     void collectCandidates(const FlowRequest &request, double drawn, TimePoint now);
-    /// \brief Marks the targets that the plan reserves, the same ones at all daemons.
+    /// \brief Marks the targets that the plan reserves, nearly the same ones at all daemons.
     void markReserved(ServiceId service, const ServicePlan &plan, TimePoint now);
     /// \brief Keeps the reserved targets of each failure domain for the requests of their priority,
     /// as long as that leaves a target there.
--- a/src/core/direct/direct_targets_plan.cpp
+++ b/src/core/direct/direct_targets_plan.cpp
@@ -3,6 +3,7 @@
 
 #include "core/direct/direct_targets.h"
 #include "core/impl/hash.h"
+#include "core/placement/service_load.h"
 
 #include <boost/random/uniform_01.hpp>
 
@@ -90,10 +91,9 @@
 
 bool DirectTargets::isNearFlowLimit(const DirectTarget &target) const noexcept
 {
-    constexpr double near = 0.9;
     const std::uint32_t limit = flowLimitOf(target.entry.service);
     const std::uint32_t flows = target.openFlows + target.opening;
-    return m_settings.placement.admit && limit > 0 && flows >= near * limit;
+    return m_settings.placement.admit && limit > 0 && flows >= FlowLimitShare * limit;
 }
 
 void DirectTargets::applyReservations(const FlowRequest &request, double drawn,
--- a/src/core/placement/admission.cpp
+++ b/src/core/placement/admission.cpp
@@ -8,14 +8,14 @@
 
 /// Bounds on one decrease: the excess that the queues show includes callers who try again, the more
 /// of them the longer nothing was refused.
-constexpr double MinFirstChange = 0.35;
-constexpr double MinLaterChange = 0.5;
+constexpr double MinFirstFactor = 0.35;
+constexpr double MinLaterFactor = 0.5;
 /// Decrease for each request per slot beyond queues that are filled as intended.
 constexpr double DecreasePerRequest = 0.15;
-/// Increase of the limit at each decision while queues are short.
-constexpr double Increase = 1.05;
+/// Growth of the limit at each decision while queues are short.
+constexpr double IncreaseFactor = 1.05;
 /// Decrease while the targets' flows are near their limit.
-constexpr double DecreaseByFlows = 0.8;
+constexpr double FlowDecreaseFactor = 0.8;
 /// Least share of the openings that is admitted: without new flows nothing would show that the
 /// targets have recovered.
 constexpr double MinShare = 0.05;
@@ -26,13 +26,10 @@
 constexpr std::uint32_t SettlingDecisions = 3;
 /// Rate that was admitted, relative to the limit, up to which usage counts as newer than a
 /// decrease.
-constexpr double NewerThanDecrease = 1.1;
-/// Share of a target's limit of flows at which its domain counts as full. \see DomainLoad::flows
-constexpr double FlowsNearLimit = 0.9;
-
+constexpr double MaxRateAboveLimit = 1.1;
 [[nodiscard]] bool isNearFlowLimit(const DomainLoad &domain) noexcept
 {
-    return domain.flowLimit > 0 && domain.flows >= FlowsNearLimit * domain.flowLimit;
+    return domain.flowLimit > 0 && domain.flows >= FlowLimitShare * domain.flowLimit;
 }
 
 /// \brief What the domains that take new flows have in common.
@@ -69,20 +66,20 @@
     if (isSameUsage)
         return 1;
     if (room.flowsNearLimit)
-        return DecreaseByFlows;
+        return FlowDecreaseFactor;
     // Queues take longer to drain or to fill than usage does to arrive. Without waiting for the
     // effect of the last change, the limit would overshoot both ways.
     const double motion = before.perSecond > 0 ? room.perSlot() - before.perSlot : 0;
     if (room.perSlot() < settings.queuesFullAt - settings.queuesFullBand)
-        return motion <= Motion ? Increase : 1;
+        return motion <= Motion ? IncreaseFactor : 1;
     // Usage from before the last decrease shows a higher rate than that left.
     const bool isFarAbove = room.perSlot() > settings.queuesFullAt + settings.queuesFullBand;
     const bool settling
-        = before.settling > 0 && !isFarAbove && admitted <= before.perSecond * NewerThanDecrease;
+        = before.settling > 0 && !isFarAbove && admitted <= before.perSecond * MaxRateAboveLimit;
     if (room.perSlot() <= settings.queuesFullAt || motion < -Motion || settling)
         return 1;
     const double aim = settings.queuesFullAt - settings.queuesFullBand / 2;
-    const double least = before.perSecond > 0 ? MinLaterChange : MinFirstChange;
+    const double least = before.perSecond > 0 ? MinLaterFactor : MinFirstFactor;
     return std::max(least, 1 - DecreasePerRequest * (room.perSlot() - aim));
 }
 
--- a/src/core/placement/admission.h
+++ b/src/core/placement/admission.h
@@ -12,13 +12,14 @@
 /// full queue, urgent or not, and each such refusal takes a flow there and the caller's time.
 ///
 /// The limit is a rate of new flows, shared out from the most urgent priority to the least. It
-/// begins where queues are full, falls by a share that grows with the excess, and rises slowly
-/// while queues are short (as in DAGOR); it stays while queues are in motion. Rate and queues come
-/// from the same usage, so that usage from before a change doesn't change it again.
+/// begins where queues are full, or flows near their limit, falls by a share that grows with the
+/// excess, and rises slowly while queues are short (as in DAGOR); it stays while queues are in
+/// motion. Rate and queues come from the same usage, so that usage from before a change doesn't
+/// change it again.
 ///
 /// \param load With the openings that were asked for and admitted.
 /// \param before Level that was in force until now.
-/// \return The level; the default one while any domain has a free slot.
+/// \return The level; the default one while any domain has a free slot, or none has any.
 [[nodiscard]] AdmissionLevel admissionFor(const ServiceLoad &load, const AdmissionLevel &before,
                                           const PlacementSettings &settings);
 
--- a/src/core/placement/placement_planner.cpp
+++ b/src/core/placement/placement_planner.cpp
@@ -33,6 +33,8 @@
         targets.inFlight += counted.inFlight();
         targets.byPriority[key.priority] += counted.inFlight();
         targets.flows += counted.flows;
+        targets.answers += counted.answers;
+        targets.answerSeconds += counted.answerSeconds;
         if (counted.asked > 0)
             load.openings[key.priority] += {counted.asked, counted.admitted};
     }
--- a/src/core/placement/service_load.h
+++ b/src/core/placement/service_load.h
@@ -9,6 +9,9 @@
 
 namespace baobabtrail {
 
+/// Share of its limit of flows from which a target, or a domain on average, takes few more.
+inline constexpr double FlowLimitShare = 0.9;
+
 /// \brief Load of a service in one failure domain, counted by all daemons together.
 struct DomainLoad
 {
@@ -20,7 +23,9 @@
     double inFlight = 0; ///< All work in flight at the targets here.
     std::map<std::uint32_t, double> byPriority{}; ///< The same by the priority of the route.
     double flows = 0;                             ///< Open flows at the targets here.
-    double flowLimit = 0; ///< Flows that the targets here accept together; 0 for no limit.
+    double flowLimit = 0;     ///< Flows that the targets here accept together; 0 for no limit.
+    double answers = 0;       ///< Answers per second of the targets here.
+    double answerSeconds = 0; ///< Sum of their answer times, in seconds per second.
 
     /// \return Requests in flight per slot; 0 where there is no slot.
     [[nodiscard]] double perSlot() const noexcept { return slots > 0 ? inFlight / slots : 0; }
--- a/src/daemon/direct/load_table.cpp
+++ b/src/daemon/direct/load_table.cpp
@@ -1,8 +1,8 @@
 #include "daemon/direct/load_table.h"
 
+#include "daemon/direct/decimals.h"
+
 #include <algorithm>
-#include <array>
-#include <cstdio>
 #include <optional>
 #include <string>
 
@@ -12,13 +12,6 @@
 
 constexpr const char *NotKnown = "-";
 
-[[nodiscard]] std::string decimals(double value)
-{
-    std::array<char, 32> text{};
-    (void)std::snprintf(text.data(), text.size(), "%.2f", value);
-    return text.data();
-}
-
 /// \return The work in flight by priority of its routes, as in "1:12.50 2:80.00".
 [[nodiscard]] std::string byPriority(const DomainLoad &load)
 {
@@ -40,6 +33,14 @@
     return decimals(found == plan.shares.end() ? 0 : found->share);
 }
 
+/// \return Average time of an answer in milliseconds.
+[[nodiscard]] std::string answerTime(const DomainLoad &load)
+{
+    constexpr double millisecondsPerSecond = 1000;
+    return load.answers > 0 ? decimals(millisecondsPerSecond * load.answerSeconds / load.answers)
+                            : NotKnown;
+}
+
 [[nodiscard]] std::string reservedIn(const ServicePlan &plan, const std::string &domain)
 {
     const auto found = plan.reservations.find(domain);
@@ -59,8 +60,8 @@
 language::Result loadTable(const DirectBackend &backend)
 {
     language::Result result;
-    result.columns = {"service", "domain", "slots",    "in-flight", "per-slot", "by-priority",
-                      "movable", "share",  "reserved", "admitted",  "age-ms"};
+    result.columns = {"service", "domain",    "slots", "in-flight", "per-slot", "by-priority",
+                      "movable", "answer-ms", "share", "reserved",  "admitted", "age-ms"};
     const DirectRouter &router = backend.node->router();
     const auto &names = router.routes().serviceNames;
     const std::optional<TimePoint> measured = router.planner().measuredAt();
@@ -73,7 +74,7 @@
             result.rows.push_back(
                 {name == names.end() ? NotKnown : name->second, domain.domain,
                  decimals(domain.slots), decimals(domain.inFlight), decimals(domain.perSlot()),
-                 byPriority(domain), decimals(domain.movable),
+                 byPriority(domain), decimals(domain.movable), answerTime(domain),
                  shareOf(plan, domain.domain, backend.domain), reservedIn(plan, domain.domain),
                  admissionOf(plan), decimals(age)});
     }
--- a/src/daemon/direct/plan_log.cpp
+++ b/src/daemon/direct/plan_log.cpp
@@ -1,23 +1,15 @@
 /// \file
 /// \brief Log events for what begins and ends in the placement of new flows.
 
+#include "daemon/direct/decimals.h"
 #include "daemon/direct/direct_log.h"
 
-#include <array>
-#include <cstdio>
 #include <string>
 
 namespace baobabtrail::daemon {
 
 namespace {
 
-[[nodiscard]] std::string decimals(double value)
-{
-    std::array<char, 32> text{};
-    (void)std::snprintf(text.data(), text.size(), "%.2f", value);
-    return text.data();
-}
-
 /// \return Requests in flight per slot by failure domain, as in "alx-raml:2.10 alx-agami:0.35".
 [[nodiscard]] std::string loadText(const ServiceLoad &load)
 {
--- a/tests/explain/tables_test.cpp
+++ b/tests/explain/tables_test.cpp
@@ -108,7 +108,7 @@
     DirectNode &node = *asked.system.cluster.node(2);
     cr_assert(asked.execute("show load").rows.empty());
     UsageView view;
-    view.usage[{serviceId("x", "x"), "d2", "d1", 1}] = {0.5, 0.25, 0, 0};
+    view.usage[{serviceId("x", "x"), "d2", "d1", 1}] = {0.5, 0.25, 20, 0.5};
     view.usage[{serviceId("x", "x"), "d2", "d1", 2}] = {0.25, 0, 0, 0};
     node.applyUsage(&view);
     const Result load = asked.execute("show load where domain = d1");
@@ -116,11 +116,35 @@
     cr_assert(cell(load, 0, "service") == "x" && cell(load, 0, "in-flight") == "1.00");
     cr_assert(cell(load, 0, "by-priority") == "1:0.75 2:0.25", "%s",
               cell(load, 0, "by-priority").c_str());
+    cr_assert(cell(load, 0, "answer-ms") == "25.00", "%s", cell(load, 0, "answer-ms").c_str());
     cr_assert(cell(load, 0, "admitted") == "all" && cell(load, 0, "reserved") == "0");
     node.applyUsage(nullptr);
     cr_assert(asked.execute("show load").rows.empty());
 }
 
+// An operator reads in the log when spill began and ended, and by which load; not a line for each
+// report.
+Test(directTables, logsWhenSpillBeginsAndEnds)
+{
+    DirectTablesFixture asked;
+    DirectNode &node = *asked.system.cluster.node(2);
+    asked.system.cluster.store.put(DirectCluster::targetKey(3), "x ready");
+    asked.system.cluster.time.run(1s);
+    UsageView view;
+    for (int report = 0; report < 3; ++report) {
+        view.usage[{serviceId("x", "x"), "d2", "d2", 2}] = {50.0 + report, 0, 0, 0};
+        view.measuredAt += 250ms;
+        node.applyUsage(&view);
+    }
+    node.applyUsage(nullptr);
+    const std::string &log = asked.system.text();
+    const auto began = log.find("spill_began");
+    cr_assert_neq(began, std::string::npos);
+    cr_assert_eq(log.find("spill_began", began + 1), std::string::npos);
+    cr_assert_neq(log.find("\"per_slot\"", began), std::string::npos);
+    cr_assert_neq(log.find("spill_ended", began), std::string::npos);
+}
+
 // With direct forwarding, changes are made in the store. A daemon must refuse commands of the
 // operators' language and say so, instead of seeming to run them.
 Test(directTables, refusesCommandsAndSaysWhereTheyBelong)
