--- a/src/core/placement/placement_planner.cpp
+++ b/src/core/placement/placement_planner.cpp
@@ -4,6 +4,7 @@
 #include "core/placement/reservation.h"
 #include "core/placement/spill.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace baobabtrail {
@@ -52,6 +53,14 @@
     }
 }
 
+/// \return Whether no failure domain has room for the excess of another.
+[[nodiscard]] bool isSaturatedEverywhere(const ServiceLoad &load, const PlacementSettings &settings)
+{
+    return std::all_of(load.domains.begin(), load.domains.end(), [&](const DomainLoad &domain) {
+        return domain.slots <= 0 || domain.perSlot() >= settings.saturatedAt;
+    });
+}
+
 /// \return Whether both plans do the same, though maybe not for the same share of the flows.
 [[nodiscard]] bool alike(const ServicePlan &a, const ServicePlan &b)
 {
@@ -91,6 +100,8 @@
     }
 }
 
+// While another domain has room, spill relieves the urgent as well, and reserved slots would idle.
+//
 // Reservations and admission go step by step, each once for a report: the same one again doesn't
 // show what the last step has changed.
 ServicePlan PlacementPlanner::planFor(const ServiceLoad &load, const ServicePlan &before,
@@ -109,7 +120,10 @@
         plan.reservations = before.reservations;
         return plan;
     }
+    const bool begins = !m_settings.spill || isSaturatedEverywhere(load, m_settings);
     for (const DomainLoad &domain : load.domains) {
+        if (!begins && !before.reservations.contains(domain.domain))
+            continue;
         const auto old = before.reservations.find(domain.domain);
         const Reservation reservation = reservationFor(
             domain, domain.targets, old == before.reservations.end() ? Reservation{} : old->second,
