--- a/review/harness/late_retry.cpp
+++ b/review/harness/late_retry.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr auto DownAt = 3s;
+constexpr auto DownAt = 3600ms;
 constexpr auto DownFor = 4500ms;
 constexpr auto ChangeAt = DownAt + DownFor + 500ms;
 constexpr auto AskUntil = DownAt + DownFor + 10s;
