Review: seeds that are down aren't seeds of a first start

Cause: cases 1 and 2 gave their daemons bootstrap = true, which the pages keep for the first start of a whole system; and a case that can't run left its temporary folder. Changed: bootstrap is false where the seeds are stale; the deployment removes its folder whenever it ends; claims quote what the pages say of seeds.

--- a/review/harness/deployment.cpp
+++ b/review/harness/deployment.cpp
@@ -126,6 +126,17 @@
     }
 }
 
+Deployment::~Deployment()
+{
+    daemons.clear();
+    if (std::getenv("KEEP_LOGS") != nullptr) {
+        std::cout << "logs: " << m_temporary << std::endl;
+        return;
+    }
+    std::error_code ignored;
+    std::filesystem::remove_all(m_temporary, ignored);
+}
+
 Address Deployment::address(std::uint8_t host, std::uint16_t port) const
 {
     return {m_net | host, m_ports[port]};
@@ -153,7 +164,8 @@
     return found == m_serverNames.end() ? "?" : found->second;
 }
 
-// Fills in the template's placeholders as DEPLOY.md tells, with bootstrap = true.
+// Fills in the template's placeholders as DEPLOY.md tells. With stale seeds it is no first start of
+// the whole system, so that bootstrap is false.
 std::string Deployment::settingsOf(std::size_t daemon) const
 {
     std::ifstream in(Template);
@@ -178,8 +190,9 @@
     replaceAll(text, "{{port_range.0}}", std::to_string(m_ports[UsagePort]));
     replaceAll(text, "{{platform.address}}", address(StoreHost, StorePort).text());
     replaceAll(text, "{{seeds|json}}", json::serialize(seeds));
-    replaceAll(text, "{{#bootstrap}}3s{{/bootstrap}}", "3s");
-    replaceAll(text, "{{^bootstrap}}0ms{{/bootstrap}}", "");
+    const bool bootstrap = !m_shape.staleSeeds;
+    replaceAll(text, "{{#bootstrap}}3s{{/bootstrap}}", bootstrap ? "3s" : "");
+    replaceAll(text, "{{^bootstrap}}0ms{{/bootstrap}}", bootstrap ? "" : "0ms");
     replaceAll(text, "{{bounds.grace_s}}", std::to_string(Bounds::GraceSeconds));
     replaceAll(text, "{{bounds.flow_ttl_s}}", std::to_string(Bounds::FlowLifetimeSeconds));
     if (text.empty() || text.find("{{") != std::string::npos)
@@ -226,12 +239,6 @@
         if (!daemons[index].runs())
             record.tell(nameOfDaemon(index) + " has ended by itself");
     }
-    if (std::getenv("KEEP_LOGS") == nullptr) {
-        std::error_code ignored;
-        std::filesystem::remove_all(m_temporary, ignored);
-    } else {
-        std::cout << "logs: " << m_temporary << std::endl;
-    }
 }
 
 Time Deployment::configure(const std::vector<std::string> &routes)
--- a/review/harness/deployment.h
+++ b/review/harness/deployment.h
@@ -56,6 +56,10 @@
     };
 
     Deployment(const Shape &shape, const std::string &folder);
+    /// \brief Ends all daemons, and removes their settings and logs unless KEEP_LOGS is set.
+    ~Deployment();
+    Deployment(const Deployment &) = delete;
+    Deployment &operator=(const Deployment &) = delete;
 
     /// \brief Runs until all daemons are in rotation. \return Whether that happened in time.
     bool start();
