--- a/review/harness/stale_after_freeze.cpp
+++ b/review/harness/stale_after_freeze.cpp
@@ -44,7 +44,7 @@
 
 int staleAfterFreeze(const std::string &folder, bool trouble)
 {
-    Deployment deployment({.daemons = 2, .servers = 4, .consumers = 4, .staleSeeds = true}, folder);
+    Deployment deployment({.daemons = 2, .servers = 8, .consumers = 4, .staleSeeds = true}, folder);
     Record &record = deployment.record;
     (void)deployment.configure({"r1", "r2"});
     if (!deployment.start()) {
