Log when a daemon begins to read the store itself and when it leaves that to its peers

New lines store_read and store_left_to_peers, with whether the daemon is a root and what it knows of its peers.

--- a/src/core/direct/direct_node.cpp
+++ b/src/core/direct/direct_node.cpp
@@ -111,6 +111,7 @@
     }
     if (!m_roots.empty())
         m_peers.start(m_roots);
+    noticeStoreUse();
     updateUsageRoute();
 }
 
--- a/src/core/direct/direct_node.h
+++ b/src/core/direct/direct_node.h
@@ -58,6 +58,13 @@
     std::string why;             ///< Error text; empty where the store is back.
     std::optional<Duration> age; ///< Of the current copy.
 };
+/// \brief The daemon has begun to read the store itself, or leaves that to its peers from now on.
+struct StoreUse
+{
+    bool reads = false;
+    bool root = false;
+    PeerState peers = PeerState::Fresh;
+};
 /// \brief The state of the other daemons, as sources of copies, has changed.
 struct PeerContact
 {
@@ -106,7 +113,7 @@
 /// \brief An event at a DirectNode, for the log and the metrics.
 using NodeNotice = std::variant<RoutesInForce, ObjectRefused, StoreContact, PeerContact,
                                 HistoryLost, WaitingQueueFull, ProcessStalled, PeerQueryEnded,
-                                FollowerOverflow, DomainEvacuated, UsageContact>;
+                                FollowerOverflow, DomainEvacuated, UsageContact, StoreUse>;
 
 /// \brief Callbacks through which a DirectNode reaches its environment.
 struct DirectCallbacks
@@ -273,6 +280,8 @@
     }
     [[nodiscard]] Lineage lineage() const;
     void startStoreLater(Collection &collection, Duration most);
+    /// \brief Reports whether this daemon reads the store, if that has changed.
+    void noticeStoreUse();
     void announceReady();
     [[nodiscard]] UsageExchangeCallbacks usageCallbacks();
     [[nodiscard]] bool isBusy(const UsageTable &usage);
@@ -331,6 +340,7 @@
     std::map<std::string, std::string> m_refused;
     std::vector<Endpoint> m_roots;
     bool m_isRoot = true;
+    bool m_readsStore = false; ///< As last noticed.
     bool m_announced = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/core/direct/direct_node_directory.cpp
+++ b/src/core/direct/direct_node_directory.cpp
@@ -122,6 +122,17 @@
         else
             startStoreLater(*collection, state == PeerState::Lost ? LostJitter : StaleJitter);
     }
+    noticeStoreUse();
+}
+
+void DirectNode::noticeStoreUse()
+{
+    const auto collections = all();
+    const bool reads = std::any_of(collections.begin(), collections.end(),
+                                   [](const Collection *each) { return each->store.running(); });
+    if (reads == std::exchange(m_readsStore, reads))
+        return;
+    notice(StoreUse{reads, m_isRoot, m_peers.state()});
 }
 
 void DirectNode::onPeersAnswered(bool changed)
@@ -222,6 +233,7 @@
         const PeerState state = m_peers.state();
         if (state == PeerState::Stale || state == PeerState::Lost)
             collection.store.start(true);
+        noticeStoreUse();
     });
 }
 
--- a/src/daemon/direct/direct_log.cpp
+++ b/src/daemon/direct/direct_log.cpp
@@ -94,6 +94,14 @@
     }
 }
 
+/// \return The event name of a change to this state.
+[[nodiscard]] std::string_view nameOf(PeerState state) noexcept
+{
+    constexpr std::array<std::string_view, 4> names{"peers_fresh", "peers_waiting", "peers_stale",
+                                                    "peers_lost"};
+    return names[static_cast<std::size_t>(state)];
+}
+
 /// \brief Converts a notice to a log event.
 struct NoticeLine
 {
@@ -127,12 +135,17 @@
             event.field("view_age_ms", *in.age);
         return event;
     }
+    LogEvent operator()(const StoreUse &in) const
+    {
+        LogEvent event{Severity::Info, Part::Distribution,
+                       in.reads ? "store_read" : "store_left_to_peers"};
+        event.field("root", in.root).field("state", nameOf(in.peers));
+        return event;
+    }
     LogEvent operator()(const PeerContact &in) const
     {
-        constexpr std::array<std::string_view, 4> events{"peers_fresh", "peers_waiting",
-                                                         "peers_stale", "peers_lost"};
         LogEvent event{in.state == PeerState::Fresh ? Severity::Info : Severity::Warning,
-                       Part::Distribution, events[static_cast<std::size_t>(in.state)]};
+                       Part::Distribution, nameOf(in.state)};
         if (!in.source.isNull())
             event.field("source", in.source);
         if (in.age)
