--- a/src/core/direct/direct_node.cpp
+++ b/src/core/direct/direct_node.cpp
@@ -101,17 +101,19 @@
     startFeeds();
 }
 
+// The calls to the store that run are repeated, not stopped: only a source that answers can take
+// their place, and none has done so yet.
 void DirectNode::startFeeds()
 {
     for (Collection *collection : all()) {
         if (m_isRoot)
             collection->store.start();
-        else
-            stopStore(*collection);
+        else if (collection->store.running())
+            collection->store.start(true);
     }
     if (!m_roots.empty())
         m_peers.start(m_roots);
-    noticeStoreUse();
+    updateStoreUse();
     updateUsageRoute();
 }
 
--- a/src/core/direct/direct_node.h
+++ b/src/core/direct/direct_node.h
@@ -250,6 +250,7 @@
         StoreFeed store;
         bool storeLost = false;
         bool storeConnected = false; ///< This daemon reads the store, and it answers.
+        bool startScheduled = false; ///< The timer of startStoreLater() runs.
     };
 
     [[nodiscard]] std::optional<SegmentVerdict> route(const Segment &segment,
@@ -279,7 +280,12 @@
         return m_routes.storeConnected && m_targets.storeConnected;
     }
     [[nodiscard]] Lineage lineage() const;
-    void startStoreLater(Collection &collection, Duration most);
+    /// \brief Starts and stops the calls to the store of a daemon that isn't a root, by what is
+    /// known of its peers now; to be called after each event that may change that.
+    void updateStoreUse();
+    /// \return Whether neither a peer nor the store keeps the copies up to date.
+    [[nodiscard]] bool needsStore() const noexcept;
+    void startStoreLater(Collection &collection);
     /// \brief Reports whether this daemon reads the store, if that has changed.
     void noticeStoreUse();
     void announceReady();
--- a/src/core/direct/direct_node_directory.cpp
+++ b/src/core/direct/direct_node_directory.cpp
@@ -114,13 +114,26 @@
             m_peers.notifyRoots();
         return;
     }
+    updateStoreUse();
+}
+
+bool DirectNode::needsStore() const noexcept
+{
+    const PeerState state = m_peers.state();
+    return !m_peers.hasSource() && (state == PeerState::Stale || state == PeerState::Lost);
+}
+
+// Follows from the present state alone: a change that is reported only once could be missed, and
+// the daemon would then read neither the store nor a peer.
+void DirectNode::updateStoreUse()
+{
     for (Collection *collection : all()) {
-        if (state == PeerState::Fresh || state == PeerState::Waiting)
+        if (m_isRoot)
+            continue;
+        if (m_peers.hasSource())
             stopStore(*collection);
-        else if (!collection->copy.complete())
-            collection->store.start(true); // Empty: callers wait.
-        else
-            startStoreLater(*collection, state == PeerState::Lost ? LostJitter : StaleJitter);
+        else if (needsStore())
+            startStoreLater(*collection);
     }
     noticeStoreUse();
 }
@@ -138,6 +151,7 @@
 void DirectNode::onPeersAnswered(bool changed)
 {
     m_hadCopies = hasCopies();
+    updateStoreUse();
     updateUsageRoute();
     if (!changed) {
         notifyFollowers();
@@ -222,16 +236,24 @@
 }
 
 // The random delay prevents a thundering herd at the store: hundreds of daemons lose the same peer
-// at the same moment.
-void DirectNode::startStoreLater(Collection &collection, Duration most)
+// at the same moment. Where a collection is empty, callers wait.
+void DirectNode::startStoreLater(Collection &collection)
 {
+    if (collection.store.running() || collection.startScheduled)
+        return;
+    if (!collection.copy.complete()) {
+        collection.store.start(true);
+        return;
+    }
     using Draw = boost::random::uniform_int_distribution<Duration::rep>;
+    const Duration most = m_peers.state() == PeerState::Lost ? LostJitter : StaleJitter;
     const Duration wait{Draw{0, most.count()}(m_random)};
+    collection.startScheduled = true;
     m_callbacks.feed.after(wait, [this, &collection, alive = std::weak_ptr{m_alive}] {
-        if (alive.expired() || m_isRoot || collection.store.running())
+        if (alive.expired())
             return;
-        const PeerState state = m_peers.state();
-        if (state == PeerState::Stale || state == PeerState::Lost)
+        collection.startScheduled = false;
+        if (!m_isRoot && !collection.store.running() && needsStore())
             collection.store.start(true);
         noticeStoreUse();
     });
--- a/src/core/directory/peer_feed.cpp
+++ b/src/core/directory/peer_feed.cpp
@@ -40,6 +40,7 @@
     m_startedAt = m_callbacks.now();
     m_staleSince.reset();
     m_copyExpected = false;
+    m_searching = true;
     m_sources.reset(roots, m_identity.address);
     if (m_sources.empty()) {
         setState(PeerState::Lost);
@@ -304,6 +305,7 @@
     const bool hasSlot = answer.hasSlot;
     const CopyUpdate update
         = m_copies.apply(std::move(answer), m_settings.staleAfter, m_callbacks.now());
+    m_searching = m_searching && !update.fresh;
     if (update.changed || update.confirmed)
         m_handlers.answered(update.changed);
     reportQuery(std::move(end), update.fresh ? QueryOutcome::Applied : QueryOutcome::Stale);
@@ -327,6 +329,7 @@
 {
     from.failedAt = m_callbacks.now();
     from.redirectedAt = from.failedAt;
+    m_searching = true;
     m_copyExpected = m_copyExpected || !answer.isEmpty;
     for (const PeerReferral &named : answer.redirect) {
         if (named.address != m_identity.address && !named.address.isNull())
@@ -348,6 +351,7 @@
     }
     if (originAlive()) {
         m_source = source.address;
+        m_searching = false;
         setState(PeerState::Waiting);
         m_handlers.answered(false);
         sendQuery(m_source);
@@ -355,6 +359,7 @@
     }
     m_sources.eraseReferred();
     m_source = Endpoint{};
+    m_searching = true;
     checkAllFailed();
     queryNext();
 }
@@ -376,6 +381,7 @@
     if (!home || !home->root || !home->staleAt || !home->hasSlot)
         home = m_sources.find(address);
     m_source = home->address;
+    m_searching = false;
     setState(home->hasSlot ? PeerState::Stale : PeerState::Waiting);
     m_handlers.answered(false);
     sendQuery(m_source);
@@ -387,6 +393,7 @@
         source->failedAt = m_callbacks.now();
     if (m_source == address)
         m_source = Endpoint{};
+    m_searching = true;
     m_copyExpected = false;
     if (isEmpty()
         && m_callbacks.now() - m_startedAt
--- a/src/core/directory/peer_feed.h
+++ b/src/core/directory/peer_feed.h
@@ -126,6 +126,12 @@
     void trySource(const Endpoint &fresher);
 
     [[nodiscard]] PeerState state() const noexcept { return m_state; }
+    /// \return Whether a source has answered since start() that keeps the copies up to date, or
+    /// waits itself for the store.
+    [[nodiscard]] bool hasSource() const noexcept
+    {
+        return !m_searching && (m_state == PeerState::Fresh || m_state == PeerState::Waiting);
+    }
     /// \return The source that answered last; null for none.
     [[nodiscard]] const Endpoint &source() const noexcept { return m_source; }
     /// \return The lineage of the source's copies.
@@ -187,6 +193,9 @@
     HeartbeatMonitor m_heartbeats;
     TimePoint m_startedAt{};
     PeerState m_state = PeerState::Fresh;
+    /// No source has answered since the start, or since the last one failed. Until one does,
+    /// \a m_state says what was known before.
+    bool m_searching = true;
     /// False after one that didn't match, until an answer is applied.
     bool m_acceptsPatches = true;
     bool m_copyExpected = false;            ///< A source that has the copies has answered.
--- a/tests/support/direct_cluster.h
+++ b/tests/support/direct_cluster.h
@@ -84,6 +84,20 @@
         });
     }
 
+    /// \brief Replaces the daemon's roots, as a change of its settings does.
+    void setRoots(std::size_t index, const std::vector<Endpoint> &roots)
+    {
+        node(index)->setRoots(roots);
+    }
+
+    /// \brief Replaces the daemon's store client, as a change of the store's address does. Pending
+    /// calls end without a result.
+    void moveStore(std::size_t index)
+    {
+        m_daemons[index]->storeClient = std::make_shared<bool>(true);
+        node(index)->processStalled(Duration{0});
+    }
+
     [[nodiscard]] DirectNode *node(std::size_t index) { return m_daemons[index]->node.get(); }
     [[nodiscard]] bool frozen(std::size_t index) const { return m_daemons[index]->frozen; }
     [[nodiscard]] std::size_t size() const noexcept { return m_daemons.size(); }
@@ -115,6 +129,11 @@
         return node(index)->router().targets().state(found->second) == DirectTargetState::Healthy;
     }
 
+    [[nodiscard]] static Endpoint addressOf(std::size_t index)
+    {
+        return {0x0A010000U + static_cast<std::uint32_t>(index), 9000};
+    }
+
     [[nodiscard]] static std::string targetKey(std::uint64_t id)
     {
         return "targets/" + std::to_string(id);
@@ -138,6 +157,7 @@
     {
         std::unique_ptr<DirectNode> node;
         std::shared_ptr<bool> life;
+        std::shared_ptr<bool> storeClient = std::make_shared<bool>(true);
         bool frozen = false;
         std::uint64_t asked = 0;    ///< Queries from other daemons.
         std::uint64_t bytes = 0;    ///< Sent to other daemons.
@@ -148,11 +168,6 @@
         std::vector<std::function<void()>> missed;
     };
 
-    [[nodiscard]] static Endpoint addressOf(std::size_t index)
-    {
-        return {0x0A010000U + static_cast<std::uint32_t>(index), 9000};
-    }
-
     /// \return A function that runs an event of a daemon. A frozen daemon runs it when it resumes;
     /// one that was killed or restarted since drops it.
     [[nodiscard]] std::function<void()> at(std::size_t index, std::function<void()> event)
@@ -178,9 +193,10 @@
         callbacks.feed.call = [this, index](const PlatformRequest &request,
                                             std::function<void(PlatformResult)> done) {
             store.call(static_cast<int>(index), request,
-                       [this, index, done, life = std::weak_ptr{m_daemons[index]->life}](
+                       [this, index, done, life = std::weak_ptr{m_daemons[index]->life},
+                        client = std::weak_ptr{m_daemons[index]->storeClient}](
                            const PlatformResult &result) {
-                           if (life.expired())
+                           if (life.expired() || client.expired())
                                return;
                            const Duration passing = occupy(index, sizeOf(result));
                            // An answer that keeps arriving is awaited, as by PlatformClient, up to
--- a/tests/support/fake_directory_store.h
+++ b/tests/support/fake_directory_store.h
@@ -95,6 +95,13 @@
         }
     }
 
+    /// \brief Stops answering, also the watches that wait; they end with their callers' timeouts.
+    void goSilent()
+    {
+        silent = true;
+        m_watches.clear();
+    }
+
     void call(int caller, const PlatformRequest &request, Done done)
     {
         ++m_calls;
