--- a/src/core/direct/direct_node.cpp
+++ b/src/core/direct/direct_node.cpp
@@ -48,7 +48,7 @@
     , copy(confirmation)
     , store(
           prefix, feedSettings(node.m_settings.store, confirmation), node.m_callbacks.feed,
-          node.m_random, copy,
+          node.m_random, node.m_storeRetry, copy,
           [this, &node](const CollectionChange &change) {
               (node.*apply)(change);
               node.m_relay.onCopyChanged();
@@ -68,6 +68,8 @@
     , m_router(m_identity.domain, settings.flows, m_random, m_callbacks.observer)
     , m_held(settings.flows.overload.maxHeldBytes)
     , m_relay(m_identity.domain, settings.relay, relayCallbacks())
+    , m_storeRetry(settings.store.lowRateInterval, {m_callbacks.feed.now, m_callbacks.feed.after},
+                   m_random)
     , m_routes(*this, "routes", RoutesPrefix, &DirectNode::applyRoutes)
     , m_targets(*this, "targets", TargetsPrefix, &DirectNode::applyTargets)
     , m_evacuations(*this, "evacuations", EvacuationsPrefix, &DirectNode::applyEvacuations,
--- a/src/core/direct/direct_node.h
+++ b/src/core/direct/direct_node.h
@@ -324,6 +324,7 @@
     HeldSegments m_held;
     bool m_serveHeldScheduled = false; ///< Whether the timer for serveHeld() runs.
     ViewRelay m_relay;
+    StoreRetry m_storeRetry;
     Collection m_routes;
     Collection m_targets;
     Collection m_evacuations;
--- a/src/core/directory/store_feed.cpp
+++ b/src/core/directory/store_feed.cpp
@@ -35,11 +35,13 @@
 } // namespace
 
 StoreFeed::StoreFeed(std::string prefix, StoreFeedSettings settings, StoreFeedCallbacks callbacks,
-                     Random &random, CollectionCopy &copy, Changed changed, CallEnded callEnded)
+                     Random &random, StoreRetry &retry, CollectionCopy &copy, Changed changed,
+                     CallEnded callEnded)
     : m_prefix(std::move(prefix))
     , m_settings(settings)
     , m_callbacks(std::move(callbacks))
     , m_random(random)
+    , m_retry(retry)
     , m_copy(copy)
     , m_changed(std::move(changed))
     , m_callEnded(std::move(callEnded))
@@ -51,8 +53,9 @@
 void StoreFeed::start(bool lowRate)
 {
     stop();
-    m_backoff = lowRate ? Backoff{m_settings.firstLowRateRetry, m_settings.maxLowRateRetry}
-                        : Backoff{m_settings.firstRetry, m_settings.maxRetry};
+    m_backoff.reset();
+    m_pageBackoff.reset();
+    m_pageReceived = false;
     m_running = true;
     m_lowRate = lowRate;
     m_confirmOnly = true;
@@ -73,6 +76,7 @@
 void StoreFeed::stop()
 {
     ++*m_generation;
+    m_retry.remove(this);
     m_pages.clear();
     m_consistent = false;
     m_running = false;
@@ -116,7 +120,7 @@
     if (!page) {
         // The pages received so far are retained: over a saturated link one of many is late each
         // time, and a list that restarted would never complete.
-        onFailure(result, m_pages.empty() ? m_backoff : m_pageBackoff, &StoreFeed::list);
+        onFailure(calledAt, result, m_pages.empty() ? m_backoff : m_pageBackoff, &StoreFeed::list);
         return;
     }
     m_pageReceived = true;
@@ -147,7 +151,7 @@
     }
     const auto *news = std::get_if<ObjectList>(&result);
     if (!news) {
-        onFailure(result, m_pageBackoff, &StoreFeed::catchUp);
+        onFailure(calledAt, result, m_pageBackoff, &StoreFeed::catchUp);
         return;
     }
     apply(*news, m_pages);
@@ -170,7 +174,8 @@
     if (m_pagesVersion < m_copy.version()) {
         // A peer was faster, or the answer is older than the copy.
         m_callEnded(StoreCallResult{});
-        schedule(m_backoff.next(m_random, Duration{0}), &StoreFeed::list);
+        schedule(m_backoff.next(m_random, m_lowRate ? m_settings.lowRatePause : Duration{0}),
+                 &StoreFeed::list);
         return;
     }
     m_confirmOnly = false;
@@ -212,7 +217,7 @@
     }
     auto *list = std::get_if<ObjectList>(&result);
     if (!list) {
-        onFailure(result, m_backoff, &StoreFeed::watch);
+        onFailure(calledAt, result, m_backoff, &StoreFeed::watch);
         return;
     }
     onSuccess();
@@ -231,22 +236,30 @@
         watch();
 }
 
-void StoreFeed::onFailure(const PlatformResult &result, Backoff &backoff,
-                          void (StoreFeed::*retry)())
+// The next watch ends at once: one that waits would take seconds to find out that the store doesn't
+// answer, and might be lost itself as the store returns.
+void StoreFeed::onFailure(TimePoint calledAt, const PlatformResult &result, Backoff &backoff,
+                          void (StoreFeed::*step)())
 {
     m_copy.storeFailed(m_callbacks.now());
+    m_confirmOnly = true;
     const auto *failure = std::get_if<PlatformFailure>(&result);
     const bool listing = std::exchange(m_pageReceived, false);
     m_callEnded(
         {failure ? failure->what : "unexpected type of answer from the store", false, listing});
-    const Duration atLeast = failure ? failure->retryAfter : Duration{0};
-    schedule(backoff.next(m_random, std::min(atLeast, m_settings.maxRetry)), retry);
+    const Duration atLeast
+        = std::min(failure ? failure->retryAfter : Duration{0}, m_settings.maxRetry);
+    if (m_lowRate && !listing)
+        m_retry.add(this, calledAt, atLeast, [this, step] { (this->*step)(); });
+    else
+        schedule(backoff.next(m_random, atLeast), step);
 }
 
 void StoreFeed::onSuccess()
 {
     m_backoff.reset();
     m_copy.storeAnswered(m_callbacks.now());
+    m_retry.storeAnswered();
 }
 
 bool StoreFeed::storeReturnedRecently() const
--- a/src/core/directory/store_feed.h
+++ b/src/core/directory/store_feed.h
@@ -2,6 +2,7 @@
 
 #include "core/control/backoff.h"
 #include "core/directory/collection_copy.h"
+#include "core/directory/store_retry.h"
 #include "core/messages/platform.h"
 #include "core/random.h"
 
@@ -28,13 +29,14 @@
     /// A list read this soon after an outage may lack live targets: they register again within two
     /// seconds of the store's return. Half a second more is for propagation.
     Duration returnGrace = 2500ms;
-    /// A daemon that usually gets its copy from others retries the store at a low rate when both
-    /// fail: hundreds of daemons that query an unavailable store cost more than they find out.
-    Duration firstLowRateRetry = 2s;
+    /// Maximum time between the starts of two calls to a store that fails, of a daemon that usually
+    /// gets its copy from others: hundreds of daemons that query an unavailable store cost more
+    /// than they find out. Four seconds after the store's return its changes have to be in force;
+    /// one second is for the calls that follow the first successful one, and for busy VMs.
+    Duration lowRateInterval = 3s;
     /// Pause before such a daemon's first watch after a list: other daemons may provide the copy
-    /// from then on.
+    /// from then on. Also before it repeats a list that is older than its copy.
     Duration lowRatePause = 1s;
-    Duration maxLowRateRetry = 8s;
 };
 
 /// \brief Clock, timers and store client of a StoreFeed; tests pass a virtual clock and a fake
@@ -69,16 +71,18 @@
     using CallEnded = std::function<void(const StoreCallResult &)>;
 
     /// \param prefix Prefix of the collection's keys.
+    /// \param retry Shared by all feeds of the daemon; has to outlive the feed.
     /// \param changed Called for each change and for the first complete list.
     /// \param callEnded Called at the end of each call to the store.
     StoreFeed(std::string prefix, StoreFeedSettings settings, StoreFeedCallbacks callbacks,
-              Random &random, CollectionCopy &copy, Changed changed, CallEnded callEnded);
+              Random &random, StoreRetry &retry, CollectionCopy &copy, Changed changed,
+              CallEnded callEnded);
     StoreFeed(const StoreFeed &) = delete;
     StoreFeed &operator=(const StoreFeed &) = delete;
 
     /// \brief Starts, or abandons the pending call and restarts: after a stall of the process, a
     /// call may wait on a dead connection.
-    /// \param lowRate Retries failed calls at longer intervals.
+    /// \param lowRate Shares the retries of failed calls with the other feeds, at longer intervals.
     void start(bool lowRate = false);
     /// \brief Abandons the pending watch and calls the store at once; does nothing while stopped.
     void refresh();
@@ -96,7 +100,8 @@
     void applyList(TimePoint calledAt);
     void watch();
     void onWatch(TimePoint calledAt, PlatformResult result);
-    void onFailure(const PlatformResult &result, Backoff &backoff, void (StoreFeed::*retry)());
+    void onFailure(TimePoint calledAt, const PlatformResult &result, Backoff &backoff,
+                   void (StoreFeed::*step)());
     void onSuccess();
     void schedule(Duration wait, void (StoreFeed::*step)());
     void call(const PlatformRequest &request, void (StoreFeed::*done)(TimePoint, PlatformResult));
@@ -106,6 +111,7 @@
     StoreFeedSettings m_settings;
     StoreFeedCallbacks m_callbacks;
     Random &m_random;
+    StoreRetry &m_retry;
     CollectionCopy &m_copy;
     Changed m_changed;
     CallEnded m_callEnded;
@@ -117,7 +123,7 @@
     bool m_pagesMayBeOld = false;      ///< The last page may come from an old replica.
     bool m_consistent = false;         ///< The pending list uses consistent reads only.
     bool m_lowRate = false;            ///< This daemon usually gets its copy from others.
-    bool m_confirmOnly = false;        ///< The next watch only confirms the copy.
+    bool m_confirmOnly = false;        ///< The next watch only confirms the copy, and ends at once.
     bool m_pageReceived = false;       ///< Since the last failure.
     bool m_running = false;
     /// Incremented to invalidate pending callbacks.
--- a/tests/directory/sourceless_test.cpp
+++ b/tests/directory/sourceless_test.cpp
@@ -23,6 +23,13 @@
     cluster.time.run(5s);
 }
 
+/// \brief Expects the daemons from \a first on to be up to date.
+void expectFresh(DirectCluster &cluster, std::size_t first)
+{
+    for (std::size_t index = first; index < cluster.size(); ++index)
+        cr_assert(cluster.node(index)->fresh(), "daemon %zu", index);
+}
+
 /// \return Whether all daemons know of a change that is made now, in time.
 [[nodiscard]] bool followsAChange(DirectCluster &cluster)
 {
@@ -119,3 +126,77 @@
     // Three roots, two collections, a watch of 1.5 s: 120 calls.
     cr_assert_leq(calls, 130, "%lu calls in 30 s", calls);
 }
+
+// The store doesn't answer for a while, and its changes have to be in force four seconds after its
+// return. Guards against daemons without a source that wait longer and longer before they call it
+// again, and against a watch that is lost as the store returns.
+Test(sourceless, aReturnOfTheStoreIsNoticedInTime)
+{
+    for (const Duration outage : {300ms, 1500ms, 3000ms, 4500ms, 7000ms, 20000ms}) {
+        for (Duration phase = 0ms; phase < 3s; phase += 150ms) {
+            DirectCluster cluster{9, 3, 27};
+            addTarget(cluster, 1);
+            killRoots(cluster, 3);
+            cluster.time.run(phase);
+            cluster.store.goSilent();
+            cluster.time.run(outage);
+            cluster.store.silent = false;
+            cluster.time.run(500ms);
+            addTarget(cluster, 1, "x draining");
+            cluster.store.put("routes/main", "2");
+            evacuate(cluster, "d1");
+            cluster.time.run(InTouchAfter - 500ms);
+            cr_assert_eq(placing(cluster, 1), 0, "after %ld ms", long{outage / 1ms});
+            cr_assert_eq(evacuating(cluster, "d1"), 6);
+            for (std::size_t index = 3; index < cluster.size(); ++index)
+                cr_assert_eq(cluster.node(index)->router().routes().version, 2);
+        }
+    }
+}
+
+// As above, where the store refuses calls at once, and where it goes away again half a second after
+// its return.
+Test(sourceless, aReturnOfTheStoreBetweenTwoOutagesIsNoticedInTime)
+{
+    for (Duration phase = 0ms; phase < 3s; phase += 150ms) {
+        DirectCluster cluster{9, 3, 28};
+        addTarget(cluster, 1);
+        killRoots(cluster, 3);
+        cluster.time.run(phase);
+        cluster.store.goDown();
+        cluster.time.run(4500ms);
+        cluster.store.down = false;
+        cluster.time.run(500ms);
+        cluster.store.goSilent();
+        cluster.time.run(4500ms);
+        cluster.store.silent = false;
+        cluster.time.run(500ms);
+        addTarget(cluster, 1, "x draining");
+        cluster.time.run(InTouchAfter - 500ms);
+        cr_assert_eq(placing(cluster, 1), 0);
+    }
+}
+
+// All seeds of a hundred daemons are dead, and the store is away for ten seconds. Guards against
+// each daemon calling it for each collection by itself.
+Test(sourceless, anOutageWithoutRootsCostsOneCallADaemonAtATime)
+{
+    DirectCluster cluster{103, 3, 29};
+    addTarget(cluster, 1);
+    killRoots(cluster, 3);
+    for (const bool silent : {true, false}) {
+        const std::uint64_t before = cluster.store.calls();
+        if (silent)
+            cluster.store.goSilent();
+        else
+            cluster.store.goDown();
+        cluster.time.run(10s);
+        const std::uint64_t calls = cluster.store.calls() - before;
+        // One call each 2.25 s at the most, and one more of each collection as the outage begins.
+        cr_assert_leq(calls, 100 * (5 + 3), "%lu calls", calls);
+        cluster.store.silent = false;
+        cluster.store.down = false;
+        cluster.time.run(InTouchAfter);
+        expectFresh(cluster, 3);
+    }
+}
--- a/tests/directory/store_feed_test.cpp
+++ b/tests/directory/store_feed_test.cpp
@@ -22,13 +22,14 @@
     VirtualTime time;
     FakeDirectoryStore store{time};
     Random random{1};
+    StoreRetry retry{3s, {callbacks().now, callbacks().after}, random};
     CollectionCopy copy;
     std::vector<CollectionChange> changes;
     StoreFeed feed;
 
     StoreFeedFixture()
         : feed(
-            "targets/", {}, callbacks(), random, copy,
+            "targets/", {}, callbacks(), random, retry, copy,
             [this](const CollectionChange &change) { changes.push_back(change); },
             [](const StoreCallResult &) {})
     {
