Bound the search for a source: the store is read after 200 ms without one

What callers saw, in virtual time: changes in force later than three seconds after they were made, at daemons that were in touch all the while, where roots are silent or dead after another change of their state: a reload, a stall, deaths of other daemons in turn.

Causes, all of one kind, a time that counts from an event that has nothing to do with the promise: - Lost was only reported when each source had failed, one after the other: a silent one takes 0.4 s, the one that answered last 2.0 s, and those that redirect add more sources. - The wait for peers at a start of the whole system (3 s) began again at each reload and each stall, also for daemons that had their copies long since. - After a stall the first query let the last source wait for news for 1.6 s, so that nobody knew meanwhile whether it was there.

Why this works: a search has a beginning, and 200 ms after it the store is read too, whatever the pending query waits for; the timer goes on for as long as the search does. Before that, the last answer is at most 2.0 s old (a wait of 1.6 s and its timeout). The wait for peers is for daemons without copies only. A search asks for an answer at once. Where a source answers within the random delay before the store is read, the store isn't called.

--- a/bench/sourceless.cpp
+++ b/bench/sourceless.cpp
@@ -1,11 +1,13 @@
 /// \file
-/// \brief Costs of an outage of the store for daemons whose roots are all dead, in virtual time:
-/// calls to the store meanwhile, and the time after its return until a change is in force.
+/// \brief Costs of daemons that lose their sources, in virtual time: calls to the store through an
+/// outage while all roots are dead, the time after its return until a change is in force, and calls
+/// where roots fall silent or all daemons but the roots stall.
 
 #include "command_line.h"
 #include "support/direct_cluster.h"
 
 #include <algorithm>
+#include <functional>
 #include <iomanip>
 #include <iostream>
 #include <sstream>
@@ -72,6 +74,34 @@
     return costs;
 }
 
+/// \return Calls to the store in the ten seconds after \a fault, of a cluster with three live
+/// roots.
+[[nodiscard]] std::uint64_t callsAfter(std::size_t daemons,
+                                       const std::function<void(DirectCluster &)> &fault)
+{
+    DirectCluster cluster{daemons + Roots, Roots, 1};
+    for (std::uint64_t target = 1; target <= 100; ++target)
+        cluster.store.put(DirectCluster::targetKey(target), "x ready");
+    cluster.time.run(SettleTime);
+    const std::uint64_t before = cluster.store.calls();
+    fault(cluster);
+    cluster.time.run(10s);
+    return cluster.store.calls() - before;
+}
+
+void printFaultsOfSources(std::size_t daemons)
+{
+    const auto none = [](DirectCluster &) {};
+    const auto silentRoot = [](DirectCluster &cluster) { cluster.freeze(0, 60s); };
+    const auto stall = [](DirectCluster &cluster) {
+        for (std::size_t index = Roots; index < cluster.size(); ++index)
+            cluster.freeze(index, 2s);
+    };
+    std::cout << std::setw(8) << daemons << "  calls in 10 s: calm " << callsAfter(daemons, none)
+              << ", a root falls silent " << callsAfter(daemons, silentRoot)
+              << ", all others stall for 2 s " << callsAfter(daemons, stall) << std::endl;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -89,6 +119,7 @@
                       << std::setw(10) << costs.mostCalls << std::setw(14) << costs.inForce / 1ms
                       << std::endl;
         }
+        printFaultsOfSources(std::stoul(size));
     }
     return 0;
 }
--- a/src/core/direct/direct_node.h
+++ b/src/core/direct/direct_node.h
@@ -225,6 +225,8 @@
     };
     [[nodiscard]] std::vector<CollectionStatus> collections() const;
     [[nodiscard]] bool isRoot() const noexcept { return m_isRoot; }
+    /// \return Whether this daemon calls the store itself, for any of its copies.
+    [[nodiscard]] bool readsStore() const noexcept;
     [[nodiscard]] const std::vector<Endpoint> &roots() const noexcept { return m_roots; }
     [[nodiscard]] const DirectRouter &router() const noexcept { return m_router; }
     /// \return Number of segments that wait for the directory.
--- a/src/core/direct/direct_node_directory.cpp
+++ b/src/core/direct/direct_node_directory.cpp
@@ -138,14 +138,18 @@
     noticeStoreUse();
 }
 
-void DirectNode::noticeStoreUse()
+bool DirectNode::readsStore() const noexcept
 {
     const auto collections = all();
-    const bool reads = std::any_of(collections.begin(), collections.end(),
-                                   [](const Collection *each) { return each->store.running(); });
-    if (reads == std::exchange(m_readsStore, reads))
-        return;
-    notice(StoreUse{reads, m_isRoot, m_peers.state()});
+    return std::any_of(collections.begin(), collections.end(),
+                       [](const Collection *each) { return each->store.running(); });
+}
+
+void DirectNode::noticeStoreUse()
+{
+    const bool reads = readsStore();
+    if (reads != std::exchange(m_readsStore, reads))
+        notice(StoreUse{reads, m_isRoot, m_peers.state()});
 }
 
 void DirectNode::onPeersAnswered(bool changed)
--- a/src/core/directory/peer_feed.cpp
+++ b/src/core/directory/peer_feed.cpp
@@ -40,8 +40,9 @@
     m_startedAt = m_callbacks.now();
     m_staleSince.reset();
     m_copyExpected = false;
-    m_searching = true;
     m_sources.reset(roots, m_identity.address);
+    m_searching = false;
+    beginSearch();
     if (m_sources.empty()) {
         setState(PeerState::Lost);
         return;
@@ -90,10 +91,47 @@
                       });
 }
 
-void PeerFeed::checkAllFailed()
+void PeerFeed::beginSearch()
+{
+    if (std::exchange(m_searching, true))
+        return;
+    m_searchingSince = m_callbacks.now();
+    if (!m_searchScheduled)
+        scheduleSearchCheck(m_settings.searchTime);
+}
+
+void PeerFeed::scheduleSearchCheck(Duration wait)
+{
+    m_searchScheduled = true;
+    m_callbacks.after(wait, [this, alive = std::weak_ptr{m_generation}] {
+        if (!alive.expired())
+            checkSearch();
+    });
+}
+
+// Doesn't rely on the end of any query: sources that are silent, slow or redirect this daemon to
+// each other may take seconds, one after the other. An empty daemon has times of its own, see
+// fallBackToStore().
+void PeerFeed::checkSearch()
 {
-    if (m_callbacks.now() - m_startedAt < m_settings.startupWait || !m_sources.allFailed())
+    m_searchScheduled = false;
+    if (!m_searching)
         return;
+    const Duration left = m_searchingSince + m_settings.searchTime - m_callbacks.now();
+    if (left <= Duration{0} && !isEmpty())
+        setUnanswered();
+    scheduleSearchCheck(left > Duration{0} ? left : m_settings.searchTime);
+}
+
+void PeerFeed::checkAllFailed()
+{
+    const bool starting = isEmpty() && m_callbacks.now() - m_startedAt < m_settings.startupWait;
+    if (!starting && m_sources.allFailed())
+        setUnanswered();
+}
+
+void PeerFeed::setUnanswered()
+{
     setState(m_staleSince ? PeerState::Stale : PeerState::Lost);
 }
 
@@ -112,6 +150,9 @@
 {
     if (kind == QueryKind::OneShot)
         return Duration{0};
+    // Whether the source is still there has to be known at once.
+    if (m_searching && !isEmpty())
+        return Duration{0};
     // A source that has not answered before is not given a wait.
     if (source != m_source)
         return Duration{0};
@@ -329,7 +370,7 @@
 {
     from.failedAt = m_callbacks.now();
     from.redirectedAt = from.failedAt;
-    m_searching = true;
+    beginSearch();
     m_copyExpected = m_copyExpected || !answer.isEmpty;
     for (const PeerReferral &named : answer.redirect) {
         if (named.address != m_identity.address && !named.address.isNull())
@@ -359,7 +400,7 @@
     }
     m_sources.eraseReferred();
     m_source = Endpoint{};
-    m_searching = true;
+    beginSearch();
     checkAllFailed();
     queryNext();
 }
@@ -393,7 +434,7 @@
         source->failedAt = m_callbacks.now();
     if (m_source == address)
         m_source = Endpoint{};
-    m_searching = true;
+    beginSearch();
     m_copyExpected = false;
     if (isEmpty()
         && m_callbacks.now() - m_startedAt
--- a/src/core/directory/peer_feed.h
+++ b/src/core/directory/peer_feed.h
@@ -40,6 +40,9 @@
     Duration retry = 100ms;
     /// Upper bound of these pauses; hundreds of daemons may have lost the same source.
     Duration maxRetry = 1s;
+    /// Until the store is queried too where the source fails, before all others have failed: each
+    /// silent one takes a timeout of its own. Live peers answer within milliseconds.
+    Duration searchTime = 200ms;
     Duration retryFailedAfter = 1s; ///< Until a source that failed is queried again.
     /// Between two one-shot queries to a root with a stale copy, by daemons that wait at another
     /// root.
@@ -155,8 +158,14 @@
     /// \brief Reports the peers as lost, so that the store is queried too, unless a peer is about
     /// to send a copy: callers wait.
     void fallBackToStore(TimePoint startedAt);
+    /// \brief No source is known to answer from now on. If none is found within the search time,
+    /// the store is queried too.
+    void beginSearch();
+    void scheduleSearchCheck(Duration wait);
+    void checkSearch();
     /// \brief Sets the state to Lost or Stale once every source has failed.
     void checkAllFailed();
+    void setUnanswered();
     [[nodiscard]] Duration waitFor(QueryKind kind, const Endpoint &source) const;
     [[nodiscard]] Duration maxWait() const;
     [[nodiscard]] QueryTimeouts timeoutsFor(Duration wait) const;
@@ -196,6 +205,8 @@
     /// No source has answered since the start, or since the last one failed. Until one does,
     /// \a m_state says what was known before.
     bool m_searching = true;
+    bool m_searchScheduled = false; ///< The timer for checkSearch() runs.
+    TimePoint m_searchingSince{};
     /// False after one that didn't match, until an answer is applied.
     bool m_acceptsPatches = true;
     bool m_copyExpected = false;            ///< A source that has the copies has answered.
--- a/tests/directory/sourceless_test.cpp
+++ b/tests/directory/sourceless_test.cpp
@@ -127,6 +127,80 @@
     cr_assert_leq(calls, 130, "%lu calls in 30 s", calls);
 }
 
+// All roots accept connections and never answer, as processes that are stopped do. Guards against
+// their timeouts, one after the other, which took longer than a change may take.
+Test(sourceless, silentRootsHideNoChange)
+{
+    for (Duration phase = 0ms; phase < 1600ms; phase += 100ms) {
+        DirectCluster cluster{9, 3, 30};
+        addTarget(cluster, 1);
+        cluster.time.run(10s + phase);
+        for (std::size_t root = 0; root < 3; ++root)
+            cluster.freeze(root, 60s);
+        addTarget(cluster, 1, "x draining");
+        cluster.time.run(InForceAfter);
+        cr_assert_leq(placing(cluster, 1), 3, "only the roots themselves");
+    }
+}
+
+// As above, and a follower stalls meanwhile and wakes.
+Test(sourceless, silentRootsHideNoChangeFromADaemonThatWakes)
+{
+    for (Duration phase = 0ms; phase < 4s; phase += 100ms) {
+        DirectCluster cluster{7, 3, 31};
+        addTarget(cluster, 1);
+        cluster.time.run(10s);
+        cluster.freeze(4, 4s);
+        cluster.time.run(phase);
+        for (std::size_t root = 0; root < 3; ++root)
+            cluster.freeze(root, 60s);
+        cluster.time.run(4s - phase);
+        // The bound counts from the wake, as the daemon is only then in touch.
+        cluster.time.run(InTouchAfter - InForceAfter);
+        cr_assert(cluster.node(4) && !cluster.frozen(4));
+        addTarget(cluster, 1, "x draining");
+        cluster.time.run(InForceAfter);
+        cr_assert(!cluster.places(4, 1));
+    }
+}
+
+// The settings name roots that are silent, during calm.
+Test(sourceless, newSilentRootsHideNoChange)
+{
+    for (Duration phase = 0ms; phase < 1600ms; phase += 100ms) {
+        DirectCluster cluster{9, 3, 32};
+        addTarget(cluster, 1);
+        cluster.time.run(10s + phase);
+        for (const std::size_t silent : {6U, 7U, 8U})
+            cluster.freeze(silent, 60s);
+        for (const std::size_t index : {0U, 3U, 4U, 5U})
+            cluster.setRoots(index, {DirectCluster::addressOf(6), DirectCluster::addressOf(7),
+                                     DirectCluster::addressOf(8)});
+        addTarget(cluster, 1, "x draining");
+        cluster.time.run(InForceAfter);
+        for (const std::size_t index : {0U, 3U, 4U, 5U})
+            cr_assert(!cluster.places(index, 1));
+    }
+}
+
+// The daemons were started together with the whole system, so that they wait for peers before they
+// read the store, and later get roots that are dead. Guards against waiting like this once more,
+// while changes come.
+Test(sourceless, newDeadRootsHideNoChangeWhereTheWholeSystemWasStarted)
+{
+    DirectNodeSettings settings;
+    settings.peers.startupWait = 3s;
+    for (Duration phase = 0ms; phase < 1600ms; phase += 100ms) {
+        DirectCluster cluster{9, 3, 33, [](std::size_t, DirectCallbacks &) {}, settings};
+        addTarget(cluster, 1);
+        cluster.time.run(10s + phase);
+        cluster.kill(8);
+        for (std::size_t index = 0; index < 8; ++index)
+            cluster.setRoots(index, {DirectCluster::addressOf(8)});
+        cr_assert(followsAChange(cluster));
+    }
+}
+
 // The store doesn't answer for a while, and its changes have to be in force four seconds after its
 // return. Guards against daemons without a source that wait longer and longer before they call it
 // again, and against a watch that is lost as the store returns.
