--- a/src/daemon/direct/direct_daemon.cpp
+++ b/src/daemon/direct/direct_daemon.cpp
@@ -51,6 +51,7 @@
     , m_file(std::move(file))
     , m_seed(seed)
     , m_log(m_settings.log.linesPerSecond)
+    , m_stalls(StallThreshold)
     , m_clockTimer(m_context)
     , m_settingsTimer(m_context)
     , m_stopTimer(m_context)
@@ -102,6 +103,7 @@
             m_context, m_settings.addresses.packets, m_settings.sockets, m_metrics.packets,
             [this](const Endpoint &sender, std::string_view bytes) { handlePacket(sender, bytes); },
             failed);
+        m_packets->beforeBatch([this] { checkStall(); });
     }));
     if (!m_settings.addresses.usage.isNull()) {
         m_network.add(ownedChild("usage socket", m_usage, [this](const FailureHandler &failed) {
@@ -289,6 +291,14 @@
         m_log.refusedPacket(sender, bytes.size(), platform::toText(packet.error), monotonicNow());
         return;
     }
+    // Its caller has sent copies since, and the flow may be open at another daemon's target. An
+    // answer of a second target would replace the label that the caller echoes, and the first one
+    // would get no more segments. A caller that still waits sends a copy.
+    if (packet.segment.opens && m_packets->inBacklog()) {
+        ++m_metrics.openingsExpired;
+        m_log.expiredOpening(packet.segment, monotonicNow());
+        return;
+    }
     if (const auto verdict = m_node->handle(packet.segment, bytes))
         applyVerdict(packet.segment, bytes, *verdict);
     else
@@ -366,19 +376,25 @@
 
 void DirectDaemon::watchClocks()
 {
-    const TimePoint steady = monotonicNow();
-    const TimePoint boot = bootNow();
-    m_clockTimer.start(ClockPeriod, [this, steady, boot] {
-        const Duration late = monotonicNow() - steady - ClockPeriod;
-        const Duration suspended = (bootNow() - boot) - (monotonicNow() - steady);
-        const Duration gap = std::max(late, suspended);
-        if (gap >= StallThreshold && m_node)
-            m_node->processStalled(gap);
+    m_stalls.expectCheck(monotonicNow() + ClockPeriod);
+    m_clockTimer.start(ClockPeriod, [this] {
+        checkStall();
         m_log.writeMassChanges(monotonicNow());
         watchClocks();
     });
 }
 
+void DirectDaemon::checkStall()
+{
+    const auto gap = m_stalls.check(monotonicNow(), bootNow());
+    if (!gap)
+        return;
+    if (m_packets)
+        m_packets->markBacklog();
+    if (m_node)
+        m_node->processStalled(*gap);
+}
+
 void DirectDaemon::startSignals()
 {
     m_signals = std::make_unique<boost::asio::signal_set>(m_context, SIGTERM, SIGINT, SIGHUP);
--- a/src/daemon/direct/direct_daemon.h
+++ b/src/daemon/direct/direct_daemon.h
@@ -9,6 +9,7 @@
 #include "daemon/net/udp_socket.h"
 #include "daemon/quiet_wait.h"
 #include "daemon/settings/settings_file.h"
+#include "daemon/stall_detector.h"
 #include "daemon/supervisor/asio_runtime.h"
 #include "net/restartable_timer.h"
 #include "store/client.h"
@@ -52,6 +53,10 @@
     void startSignals();
     void waitForSignal();
     void watchClocks();
+    /// \brief Tells the parts that rely on passing time if the process stalled. Called before
+    /// packets are read, too: otherwise those that waited would be handled before the stall is
+    /// known.
+    void checkStall();
     void watchSettings();
 
     void handlePacket(const Endpoint &sender, std::string_view bytes);
@@ -90,6 +95,7 @@
     std::unique_ptr<HttpServer> m_peerServer;
     std::unique_ptr<boost::asio::signal_set> m_signals;
 
+    StallDetector m_stalls;
     RestartableTimer m_clockTimer;
     RestartableTimer m_settingsTimer;
     RestartableTimer m_stopTimer;
--- a/src/daemon/direct/direct_log.cpp
+++ b/src/daemon/direct/direct_log.cpp
@@ -413,4 +413,16 @@
     });
 }
 
+void DirectLog::expiredOpening(const Segment &segment, TimePoint now)
+{
+    constexpr std::string_view kind = "opening_expired";
+    admit(Part::Flows, kind, now, [&] {
+        LogEvent event{Severity::Info, Part::Flows, kind};
+        addFlow(event, segment);
+        event.field("copy", segment.retransmits)
+            .field("outcome", "dropped; it waited while the process stood still");
+        return event;
+    });
+}
+
 } // namespace baobabtrail::daemon
--- a/src/daemon/direct/direct_metrics.h
+++ b/src/daemon/direct/direct_metrics.h
@@ -63,9 +63,10 @@
 
     SocketCounters packets;
     SocketCounters usage;
-    std::uint64_t usageMalformed = 0; ///< Datagrams that are not valid usage reports.
-    std::uint64_t packetsRefused = 0; ///< Datagrams that are not valid packets.
-    std::uint64_t objectsRefused = 0; ///< Objects of the store that are invalid.
+    std::uint64_t usageMalformed = 0;  ///< Datagrams that are not valid usage reports.
+    std::uint64_t packetsRefused = 0;  ///< Datagrams that are not valid packets.
+    std::uint64_t openingsExpired = 0; ///< Opening segments that waited through a stall.
+    std::uint64_t objectsRefused = 0;  ///< Objects of the store that are invalid.
     std::uint64_t processStalls = 0;
     std::uint64_t packetsDelayed = 0;      ///< Had to wait for the directory.
     std::uint64_t peerQueriesAnswered = 0; ///< Queries of this daemon.
--- a/src/daemon/net/udp_socket.cpp
+++ b/src/daemon/net/udp_socket.cpp
@@ -127,8 +127,11 @@
     // Datagrams that the receive handlers send are flushed together after each batch.
     m_flushScheduled = true;
     for (int round = 0; round < MaxConsecutiveBatches; ++round) {
+        if (m_beforeBatch)
+            m_beforeBatch();
         const std::size_t count = readBatch();
         deliver(count);
+        m_inBacklog = m_inBacklog && count == m_batchSize;
         flush();
         m_flushScheduled = true;
         if (count < m_batchSize)
--- a/src/daemon/net/udp_socket.h
+++ b/src/daemon/net/udp_socket.h
@@ -37,6 +37,14 @@
     /// the network might.
     void send(const Endpoint &to, std::string bytes);
 
+    /// \brief Sets a function that is called before each batch of datagrams is read.
+    void beforeBatch(std::function<void()> call) { m_beforeBatch = std::move(call); }
+    /// \brief The process stalled: what the kernel's receive buffer holds now may be as old as
+    /// that.
+    void markBacklog() noexcept { m_inBacklog = true; }
+    /// \return Whether the datagram that is being received may have waited since before a stall.
+    [[nodiscard]] bool inBacklog() const noexcept { return m_inBacklog; }
+
     /// \return Whether the kernel's receive buffer holds datagrams.
     [[nodiscard]] bool hasUnread() const;
 
@@ -60,6 +68,8 @@
     SocketCounters &m_counters;
     Receive m_receive;
     FailureHandler m_failed;
+    std::function<void()> m_beforeBatch;
+    bool m_inBacklog = false; ///< The receive buffer hasn't been empty since markBacklog().
     std::unique_ptr<Batch> m_batch;
     std::vector<Outgoing> m_outgoing;
     bool m_flushScheduled = false;
--- a/tests/direct-system/direct_system_test.cpp
+++ b/tests/direct-system/direct_system_test.cpp
@@ -29,6 +29,16 @@
     (void)world.runUntil([&] { return world.callerLog.singleAnswered == LogFillingRequests; }, 3s);
 }
 
+/// \return Value of a daemon's metric, by its name with labels; -1 where there is none.
+[[nodiscard]] double sampleOf(World &world, std::size_t index, const std::string &name)
+{
+    const std::string page = world.metricsOf(index);
+    const std::size_t at = page.find('\n' + name + ' ');
+    if (at == std::string::npos)
+        return -1;
+    return std::stod(page.substr(at + name.size() + 2));
+}
+
 } // namespace
 
 // Guards against broken flows when one daemon stops and another one is killed while feeds are open.
@@ -49,6 +59,33 @@
     system.expectNoViolations();
 }
 
+// Guards against a daemon that wakes and sends on opening packets of seconds ago: their flows are
+// open through other daemons, and a second target's answer would lead them astray.
+Test(directSystem, aDaemonThatWakesDropsTheOpeningsThatWaited)
+{
+    constexpr int rounds = 20;
+    DirectSystem system;
+    World &world = system.world;
+    const auto placed = [&world] {
+        return sampleOf(world, 0,
+                        R"(baobabtrail_segments_total{service="lending",decision="placed"})");
+    };
+    world.run(300ms);
+    const double before = placed();
+    world.signal(0, SIGSTOP);
+    for (int round = 0; round < rounds; ++round) {
+        for (const auto &caller : world.callers())
+            caller->ask(World::routeOf(0), "lending");
+        world.run(20ms);
+    }
+    world.run(4s);
+    world.signal(0, SIGCONT);
+    cr_assert(world.runUntil([&] { return world.inRotation() == Daemons; }, 5s));
+    cr_assert_gt(sampleOf(world, 0, R"(baobabtrail_events_total{event="opening_expired"})"), 0);
+    cr_assert_eq(placed(), before);
+    system.expectNoViolations();
+}
+
 // Guards against new flows that reach a draining target: three seconds after the start of the drain
 // none may, while its open feeds continue.
 Test(directSystem, aDrainedTargetGetsNoNewFlow)
@@ -112,16 +149,13 @@
     World &world = system.world;
     for (int number = first; number <= last; ++number)
         world.setRoute(number, true);
-    const auto sample = [&world](std::size_t index, const std::string &name) {
-        const std::string page = world.metricsOf(index);
-        const std::size_t at = page.find('\n' + name + ' ');
-        return at == std::string::npos ? -1.0 : std::stod(page.substr(at + name.size() + 2));
-    };
     for (std::size_t index = 0; index < Daemons; ++index) {
-        const auto newest = [&] { return sample(index, "baobabtrail_config_version") == last; };
+        const auto newest
+            = [&] { return sampleOf(world, index, "baobabtrail_config_version") == last; };
         cr_assert(world.runUntil(newest, 5s), "daemon %zu", index);
-        const double bytes = sample(index, "baobabtrail_peer_answer_bytes_total{"
-                                           "outcome=\"taken\"}");
+        const double bytes = sampleOf(world, index,
+                                      "baobabtrail_peer_answer_bytes_total{"
+                                      "outcome=\"taken\"}");
         cr_assert_geq(bytes, 0);
         cr_assert_leq(bytes, maxBytes, "daemon %zu: %.0f bytes", index, bytes);
     }
