--- a/src/core/direct/direct_node.h
+++ b/src/core/direct/direct_node.h
@@ -285,7 +285,7 @@
     /// \brief Starts and stops the calls to the store of a daemon that isn't a root, by what is
     /// known of its peers now; to be called after each event that may change that.
     void updateStoreUse();
-    /// \return Whether neither a peer nor the store keeps the copies up to date.
+    /// \return Whether the search for a source has found none that keeps the copies up to date.
     [[nodiscard]] bool needsStore() const noexcept;
     void startStoreLater(Collection &collection);
     /// \brief Reports whether this daemon reads the store, if that has changed.
--- a/src/core/direct/direct_node_directory.cpp
+++ b/src/core/direct/direct_node_directory.cpp
@@ -129,7 +129,7 @@
 {
     for (Collection *collection : all()) {
         if (m_isRoot)
-            continue;
+            continue; // Reads the store always.
         if (m_peers.hasSource())
             stopStore(*collection);
         else if (needsStore())
--- a/src/core/directory/peer_feed.h
+++ b/src/core/directory/peer_feed.h
@@ -162,9 +162,11 @@
     /// the store is queried too.
     void beginSearch();
     void scheduleSearchCheck(Duration wait);
+    /// \brief Reports that no source answers, once the search takes too long.
     void checkSearch();
     /// \brief Sets the state to Lost or Stale once every source has failed.
     void checkAllFailed();
+    /// \brief Sets the state to Stale where a source answered with stale copies, else to Lost.
     void setUnanswered();
     [[nodiscard]] Duration waitFor(QueryKind kind, const Endpoint &source) const;
     [[nodiscard]] Duration maxWait() const;
