A test with real processes: silent roots hide no drain from a daemon that wakes

Two roots are stopped, so that they accept connections and never answer; a follower reads the store itself, is stopped for 4 s and wakes; a target drains a second later. No flow may open there from four seconds after the wake on.

--- a/tests/direct-system/direct_system_test.cpp
+++ b/tests/direct-system/direct_system_test.cpp
@@ -86,6 +86,32 @@
     system.expectNoViolations();
 }
 
+// Guards against a daemon that wakes while its roots accept connections and never answer, and
+// places flows at a drained target until each of them has timed out.
+Test(directSystem, silentRootsHideNoDrainFromADaemonThatWakes)
+{
+    DirectSystem system;
+    World &world = system.world;
+    world.run(300ms);
+    for (std::size_t root = 0; root < Roots; ++root)
+        world.signal(root, SIGSTOP);
+    world.run(3s);
+    world.signal(3, SIGSTOP);
+    world.run(4s);
+    world.signal(3, SIGCONT);
+    world.run(1s);
+    world.drain(0, 3s);
+    for (int round = 0; round < 60; ++round) {
+        for (const auto &caller : world.callers())
+            caller->ask(World::routeOf(0), "lending");
+        world.run(100ms);
+    }
+    cr_assert_eq(world.inRotation(), Daemons - Roots);
+    cr_assert_eq(world.targetLog.lateOpens, 0);
+    for (std::size_t root = 0; root < Roots; ++root)
+        world.signal(root, SIGCONT);
+}
+
 // Guards against new flows that reach a draining target: three seconds after the start of the drain
 // none may, while its open feeds continue.
 Test(directSystem, aDrainedTargetGetsNoNewFlow)
