Ask the kernel when each datagram arrived, and log how long openings waited

The logs could not tell why a flow had been placed twice: whether the stall of its daemon was not noticed, noticed too late, or the backlog taken as ended too soon. Rival hypotheses, all in line with the lines of before: a "placed" said nothing of the age of its packet.

Change: sockets ask for the kernel's arrival stamps (SO_TIMESTAMPNS, read with recvmmsg). ArrivalClock converts them from the wall clock to the core's time: by the offset between the clocks now and when the buffer was last empty, so that a step of the wall clock in between changes no age. A datagram without a stamp, or with an impossible one, counts as received when it is read. Each decision on an opening logs waited_ms. No decision depends on it yet.

--- a/bench/daemon.cpp
+++ b/bench/daemon.cpp
@@ -131,8 +131,8 @@
     explicit BareRelay(const Endpoint &target)
         : m_socket(
             m_context, loopback(m_port), SocketSettings{}, m_counters,
-            [this, target](const Endpoint &, std::string_view bytes) {
-                m_socket.send(target, std::string{bytes});
+            [this, target](const Datagram &datagram) {
+                m_socket.send(target, std::string{datagram.bytes});
             },
             [](const std::string &) {})
         , m_thread([this] {
--- a/src/core/direct/segment.h
+++ b/src/core/direct/segment.h
@@ -2,8 +2,11 @@
 
 #include "core/endpoint.h"
 #include "core/ids.h"
+#include "core/time.h"
 
+#include <algorithm>
 #include <cstdint>
+#include <optional>
 
 namespace baobabtrail {
 
@@ -44,6 +47,14 @@
     bool opens = false;
     bool finishes = false;
     bool aborts = false;
+    /// By this VM's kernel, however long it waited since; nothing where that is unknown.
+    std::optional<TimePoint> receivedAt{};
+
+    /// \return How long it has waited on this VM; 0 where that is unknown.
+    [[nodiscard]] Duration waited(TimePoint now) const noexcept
+    {
+        return std::max(now - receivedAt.value_or(now), Duration{0});
+    }
 };
 
 /// \return Whether sequence number \a a comes after \a b, modulo 2^32.
--- a/src/daemon/clock.h
+++ b/src/daemon/clock.h
@@ -25,6 +25,12 @@
     return TimePoint{std::chrono::duration_cast<Duration>(sinceBoot)};
 }
 
+/// \return The wall-clock time; it may be stepped.
+[[nodiscard]] inline std::chrono::sys_time<std::chrono::nanoseconds> preciseWallNow() noexcept
+{
+    return std::chrono::time_point_cast<std::chrono::nanoseconds>(std::chrono::system_clock::now());
+}
+
 /// \return The wall-clock time, truncated to whole seconds.
 [[nodiscard]] inline std::chrono::sys_seconds wallNow() noexcept
 {
--- a/src/daemon/daemon_supervisors.cpp
+++ b/src/daemon/daemon_supervisors.cpp
@@ -45,15 +45,15 @@
     const ListenAddresses &listen = m_settings.addresses;
 
     m_network.add(ownedChild("data socket", m_dataSocket, [&, this](const FailureHandler &failed) {
-        const auto receive = [this](const Endpoint &from, std::string_view bytes) {
-            m_dispatcher.fromFabric(from, bytes);
+        const auto receive = [this](const Datagram &datagram) {
+            m_dispatcher.fromFabric(datagram.from, datagram.bytes);
         };
         m_dataSocket = std::make_unique<UdpSocket>(m_context, listen.data, m_settings.sockets,
                                                    counters.data, receive, failed);
     }));
     m_network.add(ownedChild("peer socket", m_peerSocket, [&, this](const FailureHandler &failed) {
-        const auto receive = [this](const Endpoint &from, std::string_view bytes) {
-            m_dispatcher.fromPeer(from, bytes);
+        const auto receive = [this](const Datagram &datagram) {
+            m_dispatcher.fromPeer(datagram.from, datagram.bytes);
         };
         m_peerSocket = std::make_unique<UdpSocket>(m_context, listen.peer, m_settings.sockets,
                                                    counters.peer, receive, failed);
--- a/src/daemon/direct/direct_daemon.cpp
+++ b/src/daemon/direct/direct_daemon.cpp
@@ -95,18 +95,14 @@
     m_network.add(ownedChild("packet socket", m_packets, [this](const FailureHandler &failed) {
         m_packets = std::make_unique<UdpSocket>(
             m_context, m_settings.addresses.packets, m_settings.sockets, m_metrics.packets,
-            [this](const Endpoint &sender, std::string_view bytes) { handlePacket(sender, bytes); },
-            failed);
+            [this](const Datagram &datagram) { handlePacket(datagram); }, failed);
         m_packets->beforeBatch([this] { checkStall(); });
     }));
     if (!m_settings.addresses.usage.isNull()) {
         m_network.add(ownedChild("usage socket", m_usage, [this](const FailureHandler &failed) {
             m_usage = std::make_unique<UdpSocket>(
                 m_context, m_settings.addresses.usage, m_settings.sockets, m_metrics.usage,
-                [this](const Endpoint &sender, std::string_view bytes) {
-                    handleUsage(sender, bytes);
-                },
-                failed);
+                [this](const Datagram &datagram) { handleUsage(datagram); }, failed);
         }));
     }
     m_network.add(ownedChild("store", m_store, [this](const FailureHandler &) {
@@ -151,14 +147,17 @@
     m_node->start(m_settings.roots);
 }
 
-void DirectDaemon::handlePacket(const Endpoint &sender, std::string_view bytes)
+void DirectDaemon::handlePacket(const Datagram &datagram)
 {
-    const platform::ReadPacket packet = platform::readPacket(bytes);
+    const std::string_view bytes = datagram.bytes;
+    platform::ReadPacket packet = platform::readPacket(bytes);
     if (packet.error != platform::PacketError::None) {
         ++m_metrics.packetsRefused;
-        m_log.refusedPacket(sender, bytes.size(), platform::toText(packet.error), monotonicNow());
+        m_log.refusedPacket(datagram.from, bytes.size(), platform::toText(packet.error),
+                            monotonicNow());
         return;
     }
+    packet.segment.receivedAt = datagram.receivedAt;
     // Its caller has sent copies since, and the flow may be open at another daemon's target. An
     // answer of a second target would replace the label that the caller echoes, and the first one
     // would get no more segments. A caller that still waits sends a copy.
@@ -173,20 +172,20 @@
         ++m_metrics.packetsDelayed;
 }
 
-void DirectDaemon::handleUsage(const Endpoint &sender, std::string_view bytes)
+void DirectDaemon::handleUsage(const Datagram &datagram)
 {
-    if (const auto evidence = wire::decodeEvidence(bytes)) {
+    if (const auto evidence = wire::decodeEvidence(datagram.bytes)) {
         if (m_node)
-            m_node->handle(sender, *evidence);
+            m_node->handle(datagram.from, *evidence);
         return;
     }
-    const auto report = wire::decodeUsage(bytes);
+    const auto report = wire::decodeUsage(datagram.bytes);
     if (!report) {
         ++m_metrics.usageMalformed;
         return;
     }
     if (m_node)
-        m_node->handle(sender, *report);
+        m_node->handle(datagram.from, *report);
 }
 
 void DirectDaemon::sendUsage(const Endpoint &to, const UsageMessage &report)
--- a/src/daemon/direct/direct_daemon.h
+++ b/src/daemon/direct/direct_daemon.h
@@ -59,8 +59,8 @@
     void checkStall();
     void watchSettings();
 
-    void handlePacket(const Endpoint &sender, std::string_view bytes);
-    void handleUsage(const Endpoint &sender, std::string_view bytes);
+    void handlePacket(const Datagram &datagram);
+    void handleUsage(const Datagram &datagram);
     void sendUsage(const Endpoint &to, const UsageMessage &report);
     void applyVerdict(const Segment &segment, std::string_view bytes,
                       const SegmentVerdict &verdict);
--- a/src/daemon/direct/direct_log.cpp
+++ b/src/daemon/direct/direct_log.cpp
@@ -264,7 +264,7 @@
         LogEvent event{severityOf(decision.cause), Part::Flows, kind};
         addFlow(event, segment);
         if (segment.opens)
-            event.field("copy", segment.retransmits);
+            event.field("copy", segment.retransmits).field("waited_ms", segment.waited(now));
         else
             event.field("label", segment.label.value());
         const auto &names = node.router().routes().serviceNames;
@@ -420,6 +420,7 @@
         LogEvent event{Severity::Info, Part::Flows, kind};
         addFlow(event, segment);
         event.field("copy", segment.retransmits)
+            .field("waited_ms", segment.waited(now))
             .field("outcome", "dropped; it waited while the process stood still");
         return event;
     });
--- a/src/daemon/net/udp_socket.cpp
+++ b/src/daemon/net/udp_socket.cpp
@@ -1,12 +1,16 @@
 #include "daemon/net/udp_socket.h"
 
+#include "daemon/clock.h"
 #include "daemon/net/asio_endpoint.h"
 #include "wire/codec.h"
 
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
+#include <cstring>
+#include <ctime>
 #include <stdexcept>
 #include <sys/socket.h>
 
@@ -27,14 +31,39 @@
     return error == EAGAIN || error == EWOULDBLOCK || error == EINTR || error == ECONNREFUSED;
 }
 
+[[nodiscard]] ArrivalClock::Reading readClocks() noexcept
+{
+    const TimePoint now = monotonicNow();
+    return {now, preciseWallNow()};
+}
+
+/// \return The arrival stamp that the kernel has attached to a received datagram, if any.
+[[nodiscard]] std::optional<ArrivalClock::WallTime> stampOf(msghdr &header) noexcept
+{
+    const cmsghdr *control = CMSG_FIRSTHDR(&header);
+    if (!control || control->cmsg_level != SOL_SOCKET || control->cmsg_type != SO_TIMESTAMPNS)
+        return std::nullopt;
+    timespec time{};
+    std::memcpy(&time, CMSG_DATA(control), sizeof time);
+    return ArrivalClock::WallTime{std::chrono::seconds{time.tv_sec}
+                                  + std::chrono::nanoseconds{time.tv_nsec}};
+}
+
 } // namespace
 
 /// \brief Buffers of one receive call and one send call. Pages that no datagram has reached are
 /// never touched, so large slots cost little memory.
 struct UdpSocket::Batch
 {
+    /// \brief Space for the arrival stamp of a datagram.
+    struct alignas(cmsghdr) Control
+    {
+        std::array<char, CMSG_SPACE(sizeof(timespec))> bytes;
+    };
+
     explicit Batch(std::size_t size)
         : bytes(std::make_unique_for_overwrite<char[]>(size * SlotBytes))
+        , controls(size)
         , vectors(size)
         , addresses(size)
         , headers(size)
@@ -50,10 +79,13 @@
             headers[index].msg_hdr.msg_iovlen = 1;
             headers[index].msg_hdr.msg_name = &addresses[index];
             headers[index].msg_hdr.msg_namelen = sizeof(sockaddr_in);
+            headers[index].msg_hdr.msg_control = controls[index].bytes.data();
+            headers[index].msg_hdr.msg_controllen = controls[index].bytes.size();
         }
     }
 
     std::unique_ptr<char[]> bytes;
+    std::vector<Control> controls;
     std::vector<iovec> vectors;
     std::vector<sockaddr_in> addresses;
     std::vector<mmsghdr> headers;
@@ -68,6 +100,7 @@
     , m_receive(std::move(receive))
     , m_failed(std::move(failed))
     , m_batch(std::make_unique<Batch>(settings.batch))
+    , m_arrivals(readClocks())
 {
     using boost::asio::socket_base;
     m_socket.open(boost::asio::ip::udp::v4());
@@ -79,9 +112,17 @@
     if (error)
         throw std::runtime_error(toString(local) + ": " + error.message());
     m_socket.non_blocking(true);
+    requestStamps();
     waitForDatagrams();
 }
 
+// Where the kernel gives no stamps, datagrams count as received when they are read.
+void UdpSocket::requestStamps()
+{
+    const int on = 1;
+    (void)::setsockopt(m_socket.native_handle(), SOL_SOCKET, SO_TIMESTAMPNS, &on, sizeof on);
+}
+
 UdpSocket::~UdpSocket()
 {
     flush();
@@ -129,9 +170,13 @@
     for (int round = 0; round < MaxConsecutiveBatches; ++round) {
         if (m_beforeBatch)
             m_beforeBatch();
+        const TimePoint begunAt = monotonicNow();
         const std::size_t count = readBatch();
+        m_arrivals.read(readClocks());
         deliver(count);
         m_inBacklog = m_inBacklog && count == m_batchSize;
+        if (count < m_batchSize)
+            m_arrivals.emptied(begunAt);
         flush();
         m_flushScheduled = true;
         if (count < m_batchSize)
@@ -156,14 +201,16 @@
 {
     m_counters.datagramsIn += count;
     for (std::size_t index = 0; index < count; ++index) {
-        const mmsghdr &header = m_batch->headers[index];
+        mmsghdr &header = m_batch->headers[index];
         m_counters.bytesIn += header.msg_len;
         if ((header.msg_hdr.msg_flags & MSG_TRUNC) != 0) {
             ++m_counters.truncated;
             continue;
         }
         const char *bytes = m_batch->bytes.get() + index * SlotBytes;
-        m_receive(fromSockaddr(m_batch->addresses[index]), {bytes, header.msg_len});
+        m_receive({fromSockaddr(m_batch->addresses[index]),
+                   {bytes, header.msg_len},
+                   m_arrivals.arrivedAt(stampOf(header.msg_hdr))});
     }
 }
 
--- a/src/daemon/net/udp_socket.h
+++ b/src/daemon/net/udp_socket.h
@@ -2,6 +2,7 @@
 
 #include "core/endpoint.h"
 #include "daemon/metrics/metrics.h"
+#include "daemon/net/arrival_clock.h"
 #include "daemon/settings/settings.h"
 #include "daemon/supervisor/supervisor.h"
 
@@ -16,13 +17,23 @@
 
 namespace baobabtrail::daemon {
 
+/// \brief A datagram that was received.
+struct Datagram
+{
+    Endpoint from;
+    std::string_view bytes;
+    /// By this machine, however long it waited to be read. The time of the read where the kernel
+    /// doesn't tell.
+    TimePoint receivedAt{};
+};
+
 /// \brief A UDP socket that receives and sends datagrams in batches, with recvmmsg and sendmmsg.
 ///
 /// Datagrams sent from within a receive handler are flushed together after the received batch.
 class UdpSocket
 {
 public:
-    using Receive = std::function<void(const Endpoint &from, std::string_view bytes)>;
+    using Receive = std::function<void(const Datagram &)>;
 
     /// \param failed Called when the socket can't be read any more.
     /// \throws std::runtime_error if the address can't be bound.
@@ -57,6 +68,7 @@
     struct Batch;
 
     void waitForDatagrams();
+    void requestStamps();
     void readBatches();
     [[nodiscard]] std::size_t readBatch();
     void deliver(std::size_t count);
@@ -71,6 +83,7 @@
     std::function<void()> m_beforeBatch;
     bool m_inBacklog = false; ///< The receive buffer hasn't been empty since markBacklog().
     std::unique_ptr<Batch> m_batch;
+    ArrivalClock m_arrivals;
     std::vector<Outgoing> m_outgoing;
     bool m_flushScheduled = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
