Place no opening that is older than its caller's next copy

What callers saw: an open flow fell silent. Its next request, seconds later, was never answered; all its packets went to a second target.

A daemon leaves rotation after two missed probes, half a second apart: after one second copies already open flows through other daemons. And the stall isn't what matters, but the age of the packet: copies come after 200, 600 ms and end after 1.4 s, so that at most one of them is meant at a time.

Where the kernel gives no stamps, datagrams that are read after a stall date from its beginning, which is the rule of before in the new type.

Why it works: no later copy exists while one may be placed, and none that was placed is answered after a later one was sent.

A check of directSystem/aDaemonThatWakesDropsTheOpeningsThatWaited compared an absent sample with a sample of 0: dropped openings now count under their service, also at a daemon that has placed none. An absent sample counts as 0; the number placed still has to stay the same.

The explanation of "overloaded" goes: nothing writes it since admission left.

--- a/src/core/direct/direct_router.cpp
+++ b/src/core/direct/direct_router.cpp
@@ -1,5 +1,6 @@
 #include "core/direct/direct_router.h"
 
+#include "core/direct/opening_copies.h"
 #include "core/impl/hash.h"
 
 #include <algorithm>
@@ -20,16 +21,6 @@
 /// timeout: its caller no longer waits.
 constexpr Duration MaxRequestTime = 10s;
 
-/// \return How long a caller has waited when it retransmits its opening segment for the nth time.
-[[nodiscard]] Duration waitedBefore(std::uint8_t retransmits) noexcept
-{
-    constexpr Duration first = 200ms;
-    constexpr Duration second = 600ms;
-    if (retransmits == 0)
-        return Duration{0};
-    return retransmits == 1 ? first : second;
-}
-
 } // namespace
 
 DirectRouter::DirectRouter(std::string domain, DirectSettings settings, Random &random,
@@ -146,9 +137,14 @@
 SegmentVerdict DirectRouter::open(const Segment &segment, TimePoint now)
 {
     const Route *route = m_routes->find(segment.flow.service);
+    const ServiceId service = route ? serviceOf(*route, segment.flow) : ServiceId{};
+    // Nor is it refused: a reset might end the flow that a later copy has opened.
+    if (placeableUntil(segment).value_or(now) < now) {
+        decided(SegmentCause::Expired, segment, nullptr, service);
+        return DropSegment{};
+    }
     if (!route)
         return refuse(segment, m_fresh ? SegmentCause::NoRoute : SegmentCause::StaleView, {});
-    const ServiceId service = serviceOf(*route, segment.flow);
     const auto known = m_flows.find(segment.flow);
     const std::uint32_t priority = route->policy.priority;
     TargetId except;
@@ -192,7 +188,7 @@
         flow.incarnation = target.incarnation;
         flow.service = service;
         flow.end = segment.sequence + 1;
-        flow.waitedBefore = waitedBefore(segment.retransmits);
+        flow.waitedBefore = openingSentAfter(segment.retransmits);
         flow.openedAt = now;
         flow.seenAt = now;
         ++target.opening;
--- a/src/core/direct/direct_router.h
+++ b/src/core/direct/direct_router.h
@@ -76,6 +76,7 @@
     Held,         ///< A request on an open flow, held as its target is saturated.
     Absorbed,     ///< Retransmitted bytes of a held request.
     Abandoned,    ///< A held request, dropped as no answer could meet its deadline.
+    Expired,      ///< An opening that waited until its caller's next copy. \see placeableUntil
 };
 
 /// \brief A decision on a segment, for the log and the metrics.
--- a/src/ctl/explain_flow.cpp
+++ b/src/ctl/explain_flow.cpp
@@ -134,8 +134,6 @@
           "the caller could ask again"},
     Cause{"route_removed", "the operator removed the route; its flows were ended"},
     Cause{"no_route", "no service had the address, by a view that was fresh"},
-    Cause{"overloaded", "no target could serve a flow of its priority; it was refused at once, and "
-                        "never ran"},
     Cause{"no_target", "the service had no target that took flows"},
     Cause{"stale_view", "the daemon's view was out of date, so it said nothing"},
     Cause{"unknown_label", "the daemon did not know the flow's target"},
@@ -146,6 +144,8 @@
     Cause{"released", "its target was saturated; the request waited before it went on"},
     Cause{"held", "its target was saturated; the request waited"},
     Cause{"slow_answer", "its target answered late"},
+    Cause{"opening_expired", "the opening waited at a daemon until its caller's next copy, which "
+                             "counts in its place"},
     Cause{"offered_again", "the opening was sent again: its answer was lost or late"},
     Cause{"placed", "nothing out of the ordinary was decided"}};
 
--- a/src/daemon/direct/direct_daemon.cpp
+++ b/src/daemon/direct/direct_daemon.cpp
@@ -158,14 +158,6 @@
         return;
     }
     packet.segment.receivedAt = datagram.receivedAt;
-    // Its caller has sent copies since, and the flow may be open at another daemon's target. An
-    // answer of a second target would replace the label that the caller echoes, and the first one
-    // would get no more segments. A caller that still waits sends a copy.
-    if (packet.segment.opens && m_packets->inBacklog()) {
-        ++m_metrics.openingsExpired;
-        m_log.expiredOpening(packet.segment, monotonicNow());
-        return;
-    }
     if (const auto verdict = m_node->handle(packet.segment, bytes))
         applyVerdict(packet.segment, bytes, *verdict);
     else
@@ -257,7 +249,7 @@
     if (!gap)
         return;
     if (m_packets)
-        m_packets->markBacklog();
+        m_packets->processStalled(monotonicNow() - *gap);
     if (m_node)
         m_node->processStalled(*gap);
 }
--- a/src/daemon/direct/direct_daemon_callbacks.cpp
+++ b/src/daemon/direct/direct_daemon_callbacks.cpp
@@ -38,6 +38,7 @@
           };
     callbacks.reader = platform::directoryReader();
     callbacks.observer.decided = [this](const SegmentDecision &decision) {
+        m_metrics.openingsExpired += decision.cause == SegmentCause::Expired;
         m_metrics.decided(decision, m_node->router().routes());
         m_log.write(decision, *m_node, monotonicNow());
     };
--- a/src/daemon/direct/direct_log.cpp
+++ b/src/daemon/direct/direct_log.cpp
@@ -14,6 +14,7 @@
     case SegmentCause::Retransmitted:
     case SegmentCause::Held:
     case SegmentCause::Absorbed:
+    case SegmentCause::Expired:
         return Severity::Info;
     default:
         return Severity::Warning;
@@ -413,17 +414,4 @@
     });
 }
 
-void DirectLog::expiredOpening(const Segment &segment, TimePoint now)
-{
-    constexpr std::string_view kind = "opening_expired";
-    admit(Part::Flows, kind, now, [&] {
-        LogEvent event{Severity::Info, Part::Flows, kind};
-        addFlow(event, segment);
-        event.field("copy", segment.retransmits)
-            .field("waited_ms", segment.waited(now))
-            .field("outcome", "dropped; it waited while the process stood still");
-        return event;
-    });
-}
-
 } // namespace baobabtrail::daemon
--- a/src/daemon/direct/direct_log.h
+++ b/src/daemon/direct/direct_log.h
@@ -58,9 +58,6 @@
     void refusedPacket(const Endpoint &sender, std::size_t bytes, std::string_view finding,
                        TimePoint now);
 
-    /// \brief Logs that an opening segment was dropped because it waited through a stall.
-    void expiredOpening(const Segment &segment, TimePoint now);
-
     /// \return Events suppressed by the rate limit so far.
     [[nodiscard]] std::uint64_t leftOut() const noexcept { return m_leftOut; }
 
--- a/src/daemon/direct/direct_metrics.h
+++ b/src/daemon/direct/direct_metrics.h
@@ -16,7 +16,7 @@
 inline constexpr std::array<std::string_view, 15> SegmentCauseNames{
     "forwarded",     "placed",     "offered_again", "repeated",      "moved",
     "no_route",      "stale_view", "no_target",     "route_removed", "target_gone",
-    "unknown_label", "held",       "absorbed",      "given_up",      "overloaded"};
+    "unknown_label", "held",       "absorbed",      "given_up",      "opening_expired"};
 /// Names of DirectTargetState in metric labels and log events; "trusted" is a healthy target.
 inline constexpr std::array<std::string_view, 7> TargetStateNames{
     "trusted", "suspect", "draining", "evacuated", "lapsed", "gone", "refused"};
@@ -65,7 +65,7 @@
     SocketCounters usage;
     std::uint64_t usageMalformed = 0;  ///< Datagrams that are not valid usage reports.
     std::uint64_t packetsRefused = 0;  ///< Datagrams that are not valid packets.
-    std::uint64_t openingsExpired = 0; ///< Opening segments that waited through a stall.
+    std::uint64_t openingsExpired = 0; ///< Opening segments that waited for too long.
     std::uint64_t objectsRefused = 0;  ///< Objects of the store that are invalid.
     std::uint64_t processStalls = 0;
     std::uint64_t packetsDelayed = 0;      ///< Had to wait for the directory.
--- a/src/daemon/net/arrival_clock.h
+++ b/src/daemon/net/arrival_clock.h
@@ -49,10 +49,19 @@
     {
         m_emptyAt = since;
         m_offsetWhenEmpty = m_offset;
+        m_stalledSince.reset();
+    }
+
+    /// \brief The process stalled: until the receive buffer is empty, datagrams without a stamp may
+    /// have waited since then.
+    void stalled(TimePoint since) noexcept
+    {
+        m_stalledSince = m_stalledSince.value_or(std::max(since, m_emptyAt));
     }
 
     /// \param stamp Of a datagram of the last read; nothing where the kernel gave none.
-    /// \return When it arrived; where that is unknown, the time of the read.
+    /// \return When it arrived. Where that is unknown, the time of the read, or after a stall the
+    /// time at which the stall began.
     [[nodiscard]] TimePoint arrivedAt(std::optional<WallTime> stamp) const noexcept
     {
         std::optional<TimePoint> arrived;
@@ -66,7 +75,7 @@
             // caller one copy, to place an old one may cost it the flow.
             arrived = std::min(arrived.value_or(at), at);
         }
-        return arrived ? std::clamp(*arrived, m_emptyAt, m_now) : m_now;
+        return arrived ? std::clamp(*arrived, m_emptyAt, m_now) : m_stalledSince.value_or(m_now);
     }
 
 private:
@@ -80,6 +89,7 @@
 
     TimePoint m_emptyAt;
     TimePoint m_now;
+    std::optional<TimePoint> m_stalledSince;
     std::chrono::nanoseconds m_offsetWhenEmpty;
     std::chrono::nanoseconds m_offset;
 };
--- a/src/daemon/net/udp_socket.cpp
+++ b/src/daemon/net/udp_socket.cpp
@@ -116,7 +116,7 @@
     waitForDatagrams();
 }
 
-// Where the kernel gives no stamps, datagrams count as received when they are read.
+// Where the kernel gives no stamps, ArrivalClock goes by the stalls of the process alone.
 void UdpSocket::requestStamps()
 {
     const int on = 1;
@@ -174,7 +174,6 @@
         const std::size_t count = readBatch();
         m_arrivals.read(readClocks());
         deliver(count);
-        m_inBacklog = m_inBacklog && count == m_batchSize;
         if (count < m_batchSize)
             m_arrivals.emptied(begunAt);
         flush();
--- a/src/daemon/net/udp_socket.h
+++ b/src/daemon/net/udp_socket.h
@@ -22,9 +22,7 @@
 {
     Endpoint from;
     std::string_view bytes;
-    /// By this machine, however long it waited to be read. The time of the read where the kernel
-    /// doesn't tell.
-    TimePoint receivedAt{};
+    TimePoint receivedAt{}; ///< By this machine. \see ArrivalClock::arrivedAt
 };
 
 /// \brief A UDP socket that receives and sends datagrams in batches, with recvmmsg and sendmmsg.
@@ -52,9 +50,7 @@
     void beforeBatch(std::function<void()> call) { m_beforeBatch = std::move(call); }
     /// \brief The process stalled: what the kernel's receive buffer holds now may be as old as
     /// that.
-    void markBacklog() noexcept { m_inBacklog = true; }
-    /// \return Whether the datagram that is being received may have waited since before a stall.
-    [[nodiscard]] bool inBacklog() const noexcept { return m_inBacklog; }
+    void processStalled(TimePoint since) noexcept { m_arrivals.stalled(since); }
 
     /// \return Whether the kernel's receive buffer holds datagrams.
     [[nodiscard]] bool hasUnread() const;
@@ -81,7 +77,6 @@
     Receive m_receive;
     FailureHandler m_failed;
     std::function<void()> m_beforeBatch;
-    bool m_inBacklog = false; ///< The receive buffer hasn't been empty since markBacklog().
     std::unique_ptr<Batch> m_batch;
     ArrivalClock m_arrivals;
     std::vector<Outgoing> m_outgoing;
--- a/standins/direct/caller.h
+++ b/standins/direct/caller.h
@@ -32,6 +32,7 @@
     std::size_t singleAnswered = 0; ///< Of these, single requests, each on its own flow.
     std::size_t refused = 0;        ///< Flows reset before they opened.
     std::size_t timedOut = 0;
+    std::size_t lost = 0;         ///< Of these, requests on flows that had been open before.
     std::size_t wrongAnswers = 0; ///< Answers that belong to another request.
     std::size_t broken = 0;       ///< Open flows that the balancer reset without a valid reason.
     std::size_t ended = 0;        ///< Open flows that ended for a valid reason.
@@ -172,10 +173,12 @@
         send(packet);
         const std::chrono::milliseconds wait{200LL << std::min(flow.tries++, 3)};
         later(flow, wait, [this](Flow &waiting) {
-            if (Clock::now() - waiting.since >= TimeLimit)
-                fail(waiting.port, m_log.timedOut);
-            else
+            if (Clock::now() - waiting.since < TimeLimit) {
                 sendRequest(waiting);
+                return;
+            }
+            ++m_log.lost;
+            fail(waiting.port, m_log.timedOut);
         });
     }
 
--- a/tests/direct-system/direct_system_test.cpp
+++ b/tests/direct-system/direct_system_test.cpp
@@ -66,9 +66,11 @@
     constexpr int rounds = 20;
     DirectSystem system;
     World &world = system.world;
+    // A daemon that has met no flow of the service yet has no sample for it.
     const auto placed = [&world] {
-        return sampleOf(world, 0,
-                        R"(baobabtrail_segments_total{service="lending",decision="placed"})");
+        const double sample = sampleOf(
+            world, 0, R"(baobabtrail_segments_total{service="lending",decision="placed"})");
+        return std::max(sample, 0.0);
     };
     world.run(300ms);
     const double before = placed();
@@ -86,6 +88,35 @@
     system.expectNoViolations();
 }
 
+// Guards against open flows that lose their targets as a daemon wakes from a stall too short to be
+// noticed: it places their openings of before, and a second target's answer leads them astray. Each
+// flow is silent until it asks again, seconds later.
+Test(directSystem, shortStallsLoseNoFlow, .timeout = 60)
+{
+    constexpr std::chrono::milliseconds spacing{20};
+    constexpr std::chrono::milliseconds untilNextRequest = 5s;
+    constexpr std::chrono::milliseconds callerTimeout = 2500ms;
+    DirectSystem system;
+    World &world = system.world;
+    world.run(300ms);
+    std::size_t turn = 0;
+    std::size_t stalled = 0;
+    for (const std::chrono::milliseconds stall : {700ms, 1200ms, 1200ms, 1600ms, 1600ms}) {
+        world.signal(stalled, SIGSTOP);
+        for (std::chrono::milliseconds time{0}; time < stall; time += spacing) {
+            world.callers()[turn++ % Callers]->feed(World::routeOf(0), "lending", untilNextRequest);
+            world.run(spacing);
+        }
+        world.signal(stalled, SIGCONT);
+        world.run(200ms);
+        stalled = (stalled + 1) % Daemons;
+    }
+    cr_assert(world.runUntil([&] { return world.inRotation() == Daemons; }, 5s));
+    world.run(untilNextRequest + callerTimeout);
+    cr_assert_eq(world.callerLog.lost, 0, "%zu flows lost their targets", world.callerLog.lost);
+    system.expectNoViolations();
+}
+
 // Guards against a daemon that wakes while its roots accept connections and never answer, and
 // places flows at a drained target until each of them has timed out.
 Test(directSystem, silentRootsHideNoDrainFromADaemonThatWakes)
