Send no opening that expired in the send queue

What callers would see: the same as with openings that waited in the receive buffer, a flow with two targets.

Cause: an opening is placed and queued, and what a batch of packets causes is sent together at its end. A process that stalls between the two sends it when it wakes, however old.

Change: a datagram may carry a time from which it isn't sent any more; openings carry the time until which they may be placed. The clock is read once a flush. They count as opening_expired.

What is left: a stall between that reading and the system call, and what waits in the kernel's send queue or on the way.

--- a/src/daemon/direct/direct_daemon.cpp
+++ b/src/daemon/direct/direct_daemon.cpp
@@ -1,5 +1,6 @@
 #include "daemon/direct/direct_daemon.h"
 
+#include "core/direct/opening_copies.h"
 #include "daemon/admin/statement_body.h"
 #include "daemon/clock.h"
 #include "daemon/direct/direct_tables.h"
@@ -193,7 +194,8 @@
         return; // The socket is being restarted: both ends see this as packet loss.
     if (const auto *deliver = std::get_if<DeliverSegment>(&verdict)) {
         m_packets->send(deliver->address,
-                        platform::toTarget(bytes, deliver->target, deliver->label));
+                        platform::toTarget(bytes, deliver->target, deliver->label),
+                        segment.opens ? placeableUntil(segment) : std::nullopt);
     } else if (const auto *abort = std::get_if<AbortFlow>(&verdict)) {
         // Callers listen at the same port number at which daemons receive their packets.
         m_packets->send({segment.flow.caller.address, m_settings.addresses.packets.port},
--- a/src/daemon/direct/direct_metrics.cpp
+++ b/src/daemon/direct/direct_metrics.cpp
@@ -160,7 +160,7 @@
         page.sample({{"event", name}}, static_cast<double>(count));
     };
     event("packet_refused", packetsRefused);
-    event("opening_expired", openingsExpired);
+    event("opening_expired", openingsExpired + packets.sendExpired);
     event("object_refused", objectsRefused);
     event("log_line_left_out", logLinesLeftOut);
     event("stood_still", processStalls);
--- a/src/daemon/direct/direct_metrics.h
+++ b/src/daemon/direct/direct_metrics.h
@@ -65,7 +65,7 @@
     SocketCounters usage;
     std::uint64_t usageMalformed = 0;  ///< Datagrams that are not valid usage reports.
     std::uint64_t packetsRefused = 0;  ///< Datagrams that are not valid packets.
-    std::uint64_t openingsExpired = 0; ///< Opening segments that waited for too long.
+    std::uint64_t openingsExpired = 0; ///< Opening segments that had waited when they were read.
     std::uint64_t objectsRefused = 0;  ///< Objects of the store that are invalid.
     std::uint64_t processStalls = 0;
     std::uint64_t packetsDelayed = 0;      ///< Had to wait for the directory.
--- a/src/daemon/metrics/metrics.h
+++ b/src/daemon/metrics/metrics.h
@@ -21,7 +21,8 @@
     std::uint64_t datagramsOut = 0;
     std::uint64_t bytesIn = 0;
     std::uint64_t bytesOut = 0;
-    std::uint64_t sendDrops = 0; ///< Dropped because the kernel's send buffer was full.
+    std::uint64_t sendDrops = 0;   ///< Dropped because the kernel's send buffer was full.
+    std::uint64_t sendExpired = 0; ///< Dropped because they had waited for too long.
     std::uint64_t truncated = 0;
     std::uint64_t badSource = 0; ///< Without a valid PROXY header, or not from the fabric.
     CounterArray<DecodeErrorNames.size()> decodeErrors{};
--- a/src/daemon/net/udp_socket.cpp
+++ b/src/daemon/net/udp_socket.cpp
@@ -128,9 +128,9 @@
     flush();
 }
 
-void UdpSocket::send(const Endpoint &to, std::string bytes)
+void UdpSocket::send(const Endpoint &to, std::string bytes, std::optional<TimePoint> expiresAt)
 {
-    m_outgoing.push_back({to, std::move(bytes)});
+    m_outgoing.push_back({to, std::move(bytes), expiresAt});
     if (m_flushScheduled)
         return;
     m_flushScheduled = true;
@@ -213,9 +213,18 @@
     }
 }
 
+void UdpSocket::dropExpired()
+{
+    const TimePoint now = monotonicNow();
+    m_counters.sendExpired += std::erase_if(m_outgoing, [now](const Outgoing &outgoing) {
+        return outgoing.expiresAt.value_or(now) < now;
+    });
+}
+
 void UdpSocket::flush()
 {
     m_flushScheduled = false;
+    dropExpired();
     std::size_t sent = 0;
     while (sent < m_outgoing.size()) {
         const std::size_t count = sendBatch(sent);
--- a/src/daemon/net/udp_socket.h
+++ b/src/daemon/net/udp_socket.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -44,7 +45,8 @@
 
     /// \brief Queues a datagram for sending. Drops it where the kernel's send buffer is full, as
     /// the network might.
-    void send(const Endpoint &to, std::string bytes);
+    /// \param expiresAt Drops it from then on, too: the process may stall before it is sent.
+    void send(const Endpoint &to, std::string bytes, std::optional<TimePoint> expiresAt = {});
 
     /// \brief Sets a function that is called before each batch of datagrams is read.
     void beforeBatch(std::function<void()> call) { m_beforeBatch = std::move(call); }
@@ -60,6 +62,7 @@
     {
         Endpoint to;
         std::string bytes;
+        std::optional<TimePoint> expiresAt;
     };
     struct Batch;
 
@@ -69,6 +72,7 @@
     [[nodiscard]] std::size_t readBatch();
     void deliver(std::size_t count);
     void flush();
+    void dropExpired();
     [[nodiscard]] std::size_t sendBatch(std::size_t first);
 
     boost::asio::ip::udp::socket m_socket;
--- a/tests/daemon/arrival_clock_test.cpp
+++ b/tests/daemon/arrival_clock_test.cpp
@@ -1,6 +1,7 @@
 #include "daemon/net/arrival_clock.h"
 
 #include "daemon/clock.h"
+#include "daemon/net/asio_endpoint.h"
 #include "daemon/net/udp_socket.h"
 #include "support/free_ports.h"
 #include "support/stall_process.h"
@@ -85,9 +86,11 @@
         counters,
         [&](const Datagram &datagram) { waits.push_back(monotonicNow() - datagram.receivedAt); },
         [](const std::string &) {}};
+    using boost::asio::ip::udp;
+    udp::socket sender{context, udp::v4()};
+    test::stallProcess(100ms); // The kernel begins to stamp a moment after the first request.
     for (const Duration span : {Duration{300ms}, Duration{100ms}, Duration{0ms}}) {
-        socket.send(local, "any");
-        context.poll_one(); // Sends, and doesn't read yet.
+        sender.send_to(boost::asio::buffer("any", 3), toAsio<udp>(local));
         test::stallProcess(span);
     }
     context.run_for(50ms);
@@ -97,3 +100,27 @@
     cr_assert(waits[1] >= 100ms && waits[1] < 100ms + tolerance);
     cr_assert(waits[2] < tolerance);
 }
+
+// Guards against an opening that is sent long after it was placed, as the process stalls in
+// between.
+Test(arrivalClock, whatHasExpiredInTheSendQueueIsNotSent)
+{
+    boost::asio::io_context context{1};
+    SocketCounters counters;
+    const Endpoint local{0x7F000001, test::freePorts(1)[0]};
+    std::vector<std::string> received;
+    UdpSocket socket{context,
+                     local,
+                     {},
+                     counters,
+                     [&](const Datagram &datagram) { received.emplace_back(datagram.bytes); },
+                     [](const std::string &) {}};
+    socket.send(local, "expires", monotonicNow() + 150ms);
+    socket.send(local, "lasts", monotonicNow() + 1h);
+    socket.send(local, "never expires");
+    test::stallProcess(200ms);
+    context.run_for(50ms);
+    const std::vector<std::string> expected{"lasts", "never expires"};
+    cr_assert(received == expected);
+    cr_assert_eq(counters.sendExpired, 1);
+}
