Notice every stall of a second, however it lies to the timer

What callers saw: nothing by itself; a daemon that had stalled for up to 2 s went on as if it had not, and where the kernel gives no arrival stamps placed openings that had waited as long.

Cause: the lateness of a timer of 500 ms was compared with 1.5 s. The docs said 1.5 s. And 1.5 s is half of the bound for changes of configuration, which has nothing to do with it: after two probes without an answer, half a second apart, the upstream balancer sends the flows elsewhere.

Change: what counts is the time since the last check, whoever made it, from one second on. So each stall of a second is noticed, none under half a second, and those in between by chance. The core's time is now the boot clock, which goes on while the machine is suspended; the detector needs no second clock, and what waited through a suspension (segments, the send queue, reports) is as old as it is for everybody else.

--- a/src/core/time.h
+++ b/src/core/time.h
@@ -6,8 +6,8 @@
 
 /// \brief Type of the monotonic clock. The core never reads it: every event carries its time.
 ///
-/// The daemon takes the time from std::chrono::steady_clock, tests from a virtual clock. Times of
-/// two VMs are not comparable, so a deadline is sent to another VM as the remaining time.
+/// The daemon takes the time from the boot clock, tests from a virtual clock. Times of two VMs are
+/// not comparable, so a deadline is sent to another VM as the remaining time.
 struct CoreClock
 {
     using duration = std::chrono::microseconds;
--- a/src/daemon/clock.h
+++ b/src/daemon/clock.h
@@ -7,19 +7,12 @@
 
 namespace baobabtrail::daemon {
 
-/// \return The monotonic time at which events are passed to the core.
+/// \return The monotonic time at which events are passed to the core. It also advances while the
+/// machine is suspended, so that what waited meanwhile is as old as it is for everybody else.
 [[nodiscard]] inline TimePoint monotonicNow() noexcept
-{
-    const auto sinceBoot = std::chrono::steady_clock::now().time_since_epoch();
-    return TimePoint{std::chrono::duration_cast<Duration>(sinceBoot)};
-}
-
-/// \return As monotonicNow(), but from a clock that also advances while the machine is suspended.
-[[nodiscard]] inline TimePoint bootNow() noexcept
 {
     timespec time{};
-    if (::clock_gettime(CLOCK_BOOTTIME, &time) != 0)
-        return monotonicNow();
+    (void)::clock_gettime(CLOCK_BOOTTIME, &time); // Fails only where Linux is older than 2.6.39.
     const auto sinceBoot
         = std::chrono::seconds{time.tv_sec} + std::chrono::nanoseconds{time.tv_nsec};
     return TimePoint{std::chrono::duration_cast<Duration>(sinceBoot)};
--- a/src/daemon/direct/direct_daemon.cpp
+++ b/src/daemon/direct/direct_daemon.cpp
@@ -28,10 +28,10 @@
 /// Interval of checks for a changed settings file. A check costs three system calls. After the
 /// store has moved, the present view can be used for longer than this interval.
 constexpr Duration SettingsPeriod = 2s;
-/// A timer that is late by this, or a boot clock that has advanced by this more than the monotonic
-/// clock, means that the process stalled. Half of the time within which a change has to be in
-/// force.
-constexpr Duration StallThreshold = 1500ms;
+/// The upstream load balancer sends flows elsewhere after two probes without an answer, half a
+/// second apart: from then on this daemon no longer decides alone.
+constexpr Duration StallThreshold = 1s;
+static_assert(ClockPeriod < StallThreshold);
 
 [[nodiscard]] RestartPolicy withoutFailures(RestartPolicy policy) noexcept
 {
@@ -46,7 +46,7 @@
     , m_file(std::move(file))
     , m_seed(seed)
     , m_log(m_settings.log.linesPerSecond)
-    , m_stalls(StallThreshold)
+    , m_stalls(StallThreshold, monotonicNow())
     , m_clockTimer(m_context)
     , m_settingsTimer(m_context)
     , m_stopTimer(m_context)
@@ -237,7 +237,6 @@
 
 void DirectDaemon::watchClocks()
 {
-    m_stalls.expectCheck(monotonicNow() + ClockPeriod);
     m_clockTimer.start(ClockPeriod, [this] {
         checkStall();
         m_log.writeMassChanges(monotonicNow());
@@ -247,11 +246,12 @@
 
 void DirectDaemon::checkStall()
 {
-    const auto gap = m_stalls.check(monotonicNow(), bootNow());
+    const TimePoint now = monotonicNow();
+    const auto gap = m_stalls.check(now);
     if (!gap)
         return;
     if (m_packets)
-        m_packets->processStalled(monotonicNow() - *gap);
+        m_packets->processStalled(now - *gap);
     if (m_node)
         m_node->processStalled(*gap);
 }
--- a/src/daemon/stall_detector.h
+++ b/src/daemon/stall_detector.h
@@ -2,44 +2,38 @@
 
 #include "core/time.h"
 
-#include <algorithm>
 #include <optional>
 
 namespace baobabtrail::daemon {
 
 /// \brief Detects that the process, or its whole machine, stood still.
+///
+/// A stall is noticed however it lies to the checks, once it is as long as the threshold. One that
+/// is shorter by less than the time between two checks may be noticed as well.
 class StallDetector
 {
 public:
-    /// \param threshold Shortest gap that counts as a stall.
-    explicit StallDetector(Duration threshold) noexcept
+    /// \param threshold Shortest time without a check that counts as a stall; longer than the time
+    /// between two checks.
+    StallDetector(Duration threshold, TimePoint now) noexcept
         : m_threshold(threshold)
+        , m_checkedAt(now)
     {
     }
 
-    /// \brief Announces a check that a timer makes then, unless the process stalls.
-    void expectCheck(TimePoint due) noexcept { m_due = due; }
-
-    /// \param steady Time by a clock that stands still while the machine is suspended.
-    /// \param boot Time by a clock that goes on meanwhile.
-    /// \return The length of a stall that no check has reported yet; nothing where there was none.
-    [[nodiscard]] std::optional<Duration> check(TimePoint steady, TimePoint boot) noexcept
+    /// \brief To be called by a timer, and before anything is handled that may have waited.
+    /// \param now By a clock that also advances while the machine is suspended.
+    /// \return Time without a check, where it counts as a stall; nothing otherwise.
+    [[nodiscard]] std::optional<Duration> check(TimePoint now) noexcept
     {
-        const Duration ahead = boot - steady;
-        const Duration suspended = ahead - m_ahead.value_or(ahead);
-        const Duration late = steady - m_due.value_or(steady);
-        m_ahead = ahead;
-        const Duration gap = std::max(late, suspended);
-        if (gap < m_threshold)
-            return std::nullopt;
-        m_due.reset();
-        return gap;
+        const Duration gap = now - m_checkedAt;
+        m_checkedAt = now;
+        return gap < m_threshold ? std::nullopt : std::optional{gap};
     }
 
 private:
     Duration m_threshold;
-    std::optional<TimePoint> m_due;
-    std::optional<Duration> m_ahead; ///< Of the boot clock, at the last check.
+    TimePoint m_checkedAt;
 };
 
 } // namespace baobabtrail::daemon
