Date what other daemons report by its arrival, not by its reading

After a stall a daemon placed flows by loads of before it, and could keep a target out of use for 5 to 40 s by reports of silence that had run out meanwhile.

Cause: usage reports and reports of silent targets state their age, which was added to the time of their reading. What had waited in the socket's buffer counted as just sent: a usage report for three intervals from then on, a report of silence for all that it lasts. After a noticed stall 50 ms of datagrams were ignored, fresh ones too; after one that was not noticed nothing.

Change: both take the arrival from the datagram and count from there; a report that is over is refused. The rule of 50 ms is gone: where the kernel gives no stamps, the usage socket now dates what it reads after a stall by its beginning, as the packet socket does, and checks for a stall before it reads.

Looked at and harmless: neither can reset a flow (DirectTargets::isUnreachable goes by the daemon's own probes alone), and both end by their age.

Tests, with the arrival replaced by the reading: usageExchange/aReportThatWaitedEndsWhenItWouldHave and evidence_exchange/a_report_that_waited_counts_as_old_as_it_is failed, and so did usageExchange/pausedReporter of before, which the 50 ms had served.

--- a/src/core/direct/direct_node.h
+++ b/src/core/direct/direct_node.h
@@ -190,11 +190,13 @@
 
     /// \brief Handles a usage report of another daemon.
     /// \param from The address of \a usageAddressOf.
-    void handle(const Endpoint &from, const UsageMessage &report);
+    /// \param receivedAt When it reached this VM.
+    void handle(const Endpoint &from, const UsageMessage &report, TimePoint receivedAt);
     [[nodiscard]] const UsageExchange &usage() const noexcept { return m_usage; }
     /// \brief Handles what another daemon reports about targets.
     /// \param from The address of \a usageAddressOf.
-    void handle(const Endpoint &from, const EvidenceMessage &message);
+    /// \param receivedAt When it reached this VM.
+    void handle(const Endpoint &from, const EvidenceMessage &message, TimePoint receivedAt);
     [[nodiscard]] const EvidenceExchange &evidence() const noexcept { return m_evidence; }
 
     /// \brief Forwards all held requests and holds none from now on; to be called before the
--- a/src/core/direct/direct_node_evidence.cpp
+++ b/src/core/direct/direct_node_evidence.cpp
@@ -5,11 +5,11 @@
 
 namespace baobabtrail {
 
-void DirectNode::handle(const Endpoint &from, const EvidenceMessage &message)
+void DirectNode::handle(const Endpoint &from, const EvidenceMessage &message, TimePoint receivedAt)
 {
     if (!m_callbacks.sendEvidence)
         return;
-    m_evidence.handle(from, message);
+    m_evidence.handle(from, message, receivedAt);
     startProbes();
 }
 
--- a/src/core/direct/direct_node_usage.cpp
+++ b/src/core/direct/direct_node_usage.cpp
@@ -30,10 +30,10 @@
     m_router.applyUsage(view, m_callbacks.feed.now());
 }
 
-void DirectNode::handle(const Endpoint &from, const UsageMessage &report)
+void DirectNode::handle(const Endpoint &from, const UsageMessage &report, TimePoint receivedAt)
 {
     if (m_callbacks.sendUsage)
-        m_usage.handle(from, report);
+        m_usage.handle(from, report, receivedAt);
 }
 
 UsageExchangeCallbacks DirectNode::usageCallbacks()
--- a/src/core/evidence/evidence_exchange.cpp
+++ b/src/core/evidence/evidence_exchange.cpp
@@ -87,12 +87,14 @@
            && report.lasts <= m_settings.maxLasts;
 }
 
-void EvidenceExchange::handle(const Endpoint &from, const EvidenceMessage &message)
+void EvidenceExchange::handle(const Endpoint &from, const EvidenceMessage &message,
+                              TimePoint receivedAt)
 {
     if (!m_settings.enabled)
         return;
     const TimePoint now = m_callbacks.now();
-    for (const EvidenceReport &report : message.reports) {
+    for (EvidenceReport report : message.reports) {
+        report.age += now - receivedAt;
         const bool isOurs = report.domain == m_domain;
         const bool wasKnown = isOurs && !silences(report.target).empty();
         if (!isCredible(report) || !m_table.put(report, now)) {
--- a/src/core/evidence/evidence_exchange.h
+++ b/src/core/evidence/evidence_exchange.h
@@ -73,7 +73,9 @@
 
     /// \brief This daemon has observed the target.
     void observed(TargetId target, TargetSign sign);
-    void handle(const Endpoint &from, const EvidenceMessage &message);
+    /// \param receivedAt When it reached this VM. The reports may have waited since: they count as
+    /// old as they are by now.
+    void handle(const Endpoint &from, const EvidenceMessage &message, TimePoint receivedAt);
     /// \brief The target has restarted under the same id.
     void forget(TargetId target);
     /// \brief Ends reports by their age, and tells new neighbours what counts; to be called about
--- a/src/core/usage/received_reports.cpp
+++ b/src/core/usage/received_reports.cpp
@@ -11,12 +11,12 @@
 
 } // namespace
 
-bool ReceivedReports::put(const Endpoint &from, const UsageMessage &message, TimePoint now,
+bool ReceivedReports::put(const Endpoint &from, const UsageMessage &message, TimePoint receivedAt,
                           Duration lifetime)
 {
     if (m_reports.size() >= MaxReports && !m_reports.contains(from))
         return false;
-    m_reports[from] = {message, now - message.age, now + lifetime, false};
+    m_reports[from] = {message, receivedAt - message.age, receivedAt + lifetime, false};
     return true;
 }
 
--- a/src/core/usage/received_reports.h
+++ b/src/core/usage/received_reports.h
@@ -23,7 +23,7 @@
 public:
     /// \brief Replaces the sender's last report.
     /// \return False where there are too many senders.
-    [[nodiscard]] bool put(const Endpoint &from, const UsageMessage &message, TimePoint now,
+    [[nodiscard]] bool put(const Endpoint &from, const UsageMessage &message, TimePoint receivedAt,
                            Duration lifetime);
     void erase(const Endpoint &from) { m_reports.erase(from); }
     void clear() noexcept { m_reports.clear(); }
--- a/src/core/usage/usage_exchange.cpp
+++ b/src/core/usage/usage_exchange.cpp
@@ -11,10 +11,6 @@
 /// More daemons than any deployment has.
 constexpr std::uint32_t MaxDaemons = 10'000;
 
-/// Messages that waited in the socket's buffer during a stall have an unknown age. All of them are
-/// read within this time after it.
-constexpr Duration SettleTime = 50ms;
-
 void add(UsageTable &sum, const UsageTable &table)
 {
     for (const auto &[key, usage] : table)
@@ -144,7 +140,6 @@
     // The average over the stall says nothing of the time after it.
     (void)m_callbacks.take();
     m_ownAt = m_callbacks.now();
-    m_ignoreUntil = m_callbacks.now() + SettleTime;
     dropView();
 }
 
@@ -244,13 +239,13 @@
         for (const Endpoint &root : m_route.roots)
             send(root, makeMessage(UsageScope::Subtree, reported));
     }
-    publish(total);
+    publish(total, m_callbacks.now());
 }
 
-void UsageExchange::publish(const Sum &total)
+void UsageExchange::publish(const Sum &total, TimePoint knownAt)
 {
     m_totalIsBusy = total.busy;
-    m_viewEndsAt = m_callbacks.now() + lifetimeOf(total.interval);
+    m_viewEndsAt = knownAt + lifetimeOf(total.interval);
     m_view = total.view;
     for (const Endpoint &child : m_children.senders())
         send(child, makeMessage(UsageScope::Total, total));
@@ -312,24 +307,26 @@
     return std::find(m_route.roots.begin(), m_route.roots.end(), daemon) != m_route.roots.end();
 }
 
-void UsageExchange::handle(const Endpoint &from, const UsageMessage &message)
+void UsageExchange::handle(const Endpoint &from, const UsageMessage &message, TimePoint receivedAt)
 {
-    if (!m_settings.enabled || m_callbacks.now() < m_ignoreUntil)
+    if (!m_settings.enabled)
         return;
-    const bool accepted = accept(from, message);
+    const bool accepted = accept(from, message, receivedAt);
     ++(accepted ? m_counts.received : m_counts.refused);
     if (accepted)
         schedule();
 }
 
-bool UsageExchange::accept(const Endpoint &from, const UsageMessage &message)
+bool UsageExchange::accept(const Endpoint &from, const UsageMessage &message, TimePoint receivedAt)
 {
     if (message.incarnation == m_incarnation || !isCredible(message))
         return false;
+    if (m_callbacks.now() >= receivedAt + lifetimeOf(message.interval))
+        return false;
     if (!m_guard.admit(from, message.incarnation, message.sequence, m_callbacks.now()))
         return false;
-    return message.scope == UsageScope::Total ? acceptTotal(from, message)
-                                              : acceptSubtree(from, message);
+    return message.scope == UsageScope::Total ? acceptTotal(from, message, receivedAt)
+                                              : acceptSubtree(from, message, receivedAt);
 }
 
 // A wrong report does harm for as long as it counts, which is short; the bounds limit how much.
@@ -357,28 +354,30 @@
            * std::clamp(interval, m_settings.busyInterval, m_settings.calmInterval);
 }
 
-bool UsageExchange::acceptTotal(const Endpoint &from, const UsageMessage &message)
+bool UsageExchange::acceptTotal(const Endpoint &from, const UsageMessage &message,
+                                TimePoint receivedAt)
 {
     if (m_route.isRoot || from != m_route.source)
         return false;
-    const TimePoint now = m_callbacks.now();
     expire();
-    m_totalAt = now;
-    publish({{message.usage, message.daemons, now - message.age},
+    m_totalAt = m_callbacks.now();
+    publish({{message.usage, message.daemons, receivedAt - message.age},
              message.height + 1,
              message.busy,
-             message.interval});
+             message.interval},
+            receivedAt);
     return true;
 }
 
-bool UsageExchange::acceptSubtree(const Endpoint &from, const UsageMessage &message)
+bool UsageExchange::acceptSubtree(const Endpoint &from, const UsageMessage &message,
+                                  TimePoint receivedAt)
 {
-    const TimePoint now = m_callbacks.now();
+    const Duration lifetime = lifetimeOf(message.interval);
     if (isOtherRoot(from))
-        return m_route.isRoot && m_siblings.put(from, message, now, lifetimeOf(message.interval));
+        return m_route.isRoot && m_siblings.put(from, message, receivedAt, lifetime);
     if (!m_route.isRoot && from == m_route.source)
         return false;
-    return m_children.put(from, message, now, lifetimeOf(message.interval));
+    return m_children.put(from, message, receivedAt, lifetime);
 }
 
 } // namespace baobabtrail
--- a/src/core/usage/usage_exchange.h
+++ b/src/core/usage/usage_exchange.h
@@ -85,8 +85,11 @@
     void start();
     /// \brief Sets this daemon's place in the tree; to be called for each change.
     void setRoute(UsageRoute route);
-    void handle(const Endpoint &from, const UsageMessage &message);
-    /// \brief Drops the view and all reports, whose ages are unknown after the process stalled.
+    /// \param receivedAt When it reached this VM. The message may have waited since: it counts as
+    /// old as it is by now.
+    void handle(const Endpoint &from, const UsageMessage &message, TimePoint receivedAt);
+    /// \brief The process stalled: drops the view and all reports, which say nothing of the
+    /// present, and what was measured across the stall.
     void reset();
 
     /// \return The usage of all daemons; null where it is unknown or too old.
@@ -125,13 +128,17 @@
     [[nodiscard]] Sum takeSubtree();
     void add(Sum &sum, const ReceivedReport &report) const;
     [[nodiscard]] bool isCredible(const UsageMessage &message) const;
-    [[nodiscard]] bool accept(const Endpoint &from, const UsageMessage &message);
-    [[nodiscard]] bool acceptTotal(const Endpoint &from, const UsageMessage &message);
-    [[nodiscard]] bool acceptSubtree(const Endpoint &from, const UsageMessage &message);
+    [[nodiscard]] bool accept(const Endpoint &from, const UsageMessage &message,
+                              TimePoint receivedAt);
+    [[nodiscard]] bool acceptTotal(const Endpoint &from, const UsageMessage &message,
+                                   TimePoint receivedAt);
+    [[nodiscard]] bool acceptSubtree(const Endpoint &from, const UsageMessage &message,
+                                     TimePoint receivedAt);
     [[nodiscard]] bool isOtherRoot(const Endpoint &daemon) const;
     [[nodiscard]] Duration lifetimeOf(Duration interval) const;
     void reportTotal(const Sum &subtree);
-    void publish(const Sum &total);
+    /// \param knownAt When the total reached this VM, or was summed here.
+    void publish(const Sum &total, TimePoint knownAt);
     void dropView();
     [[nodiscard]] UsageMessage makeMessage(UsageScope scope, const Sum &sum) const;
     void send(const Endpoint &to, UsageMessage message);
@@ -157,7 +164,6 @@
     TimePoint m_totalAt{}; ///< When the source's last total came.
     TimePoint m_viewEndsAt{};
     std::uint64_t m_timer = 0; ///< Incremented to invalidate the pending one.
-    TimePoint m_ignoreUntil{};
     Counts m_counts;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/daemon/direct/direct_daemon.cpp
+++ b/src/daemon/direct/direct_daemon.cpp
@@ -104,6 +104,7 @@
             m_usage = std::make_unique<UdpSocket>(
                 m_context, m_settings.addresses.usage, m_settings.sockets, m_metrics.usage,
                 [this](const Datagram &datagram) { handleUsage(datagram); }, failed);
+            m_usage->beforeBatch([this] { checkStall(); });
         }));
     }
     m_network.add(ownedChild("store", m_store, [this](const FailureHandler &) {
@@ -169,7 +170,7 @@
 {
     if (const auto evidence = wire::decodeEvidence(datagram.bytes)) {
         if (m_node)
-            m_node->handle(datagram.from, *evidence);
+            m_node->handle(datagram.from, *evidence, datagram.receivedAt);
         return;
     }
     const auto report = wire::decodeUsage(datagram.bytes);
@@ -178,7 +179,7 @@
         return;
     }
     if (m_node)
-        m_node->handle(datagram.from, *report);
+        m_node->handle(datagram.from, *report, datagram.receivedAt);
 }
 
 void DirectDaemon::sendUsage(const Endpoint &to, const UsageMessage &report)
@@ -250,8 +251,10 @@
     const auto gap = m_stalls.check(now);
     if (!gap)
         return;
-    if (m_packets)
-        m_packets->processStalled(now - *gap);
+    for (UdpSocket *socket : {m_packets.get(), m_usage.get()}) {
+        if (socket)
+            socket->processStalled(now - *gap);
+    }
     if (m_node)
         m_node->processStalled(*gap);
 }
--- a/tests/evidence/evidence_exchange_test.cpp
+++ b/tests/evidence/evidence_exchange_test.cpp
@@ -159,6 +159,26 @@
     cr_assert(old.size() >= 2);
     daemon.forget(Target);
     cr_assert_not(daemon.isReportedSilent(Target));
-    daemon.handle({1, 1}, {old});
+    daemon.handle({1, 1}, {old}, fleet.time.now());
     cr_assert_not(daemon.isReportedSilent(Target));
 }
+
+// Guards against a target that is kept out of use by reports that waited while this daemon stalled.
+Test(evidence_exchange, a_report_that_waited_counts_as_old_as_it_is)
+{
+    EvidenceFleet fleet{60};
+    cr_assert(timeUntilAvoided(fleet) < 1s);
+    const std::vector<EvidenceReport> reports
+        = fleet.at(fleet.daemonsOf(Domain, 12).back()).table().reports(10, fleet.time.now());
+    const Duration lasts = EvidenceSettings{}.firstLasts;
+    for (const Duration waited : {Duration{1s}, lasts}) {
+        EvidenceFleet others{60};
+        EvidenceExchange &daemon = others.at(others.daemonsOf(Domain, 12).back());
+        others.time.run(lasts);
+        daemon.handle({1, 1}, {reports}, others.time.now() - waited);
+        cr_assert_eq(daemon.isReportedSilent(Target), waited < lasts);
+        others.time.run(lasts - waited);
+        daemon.expire();
+        cr_assert_not(daemon.isReportedSilent(Target));
+    }
+}
--- a/tests/evidence/evidence_fleet.h
+++ b/tests/evidence/evidence_fleet.h
@@ -153,7 +153,7 @@
             return;
         later(to, Hop, [this, from, to, bytes] {
             if (const auto read = wire::decodeEvidence(bytes))
-                at(to).handle(addressOf(from), *read);
+                at(to).handle(addressOf(from), *read, time.now());
         });
     }
 
--- a/tests/evidence/evidence_nodes_test.cpp
+++ b/tests/evidence/evidence_nodes_test.cpp
@@ -64,7 +64,7 @@
     {
         cluster->time.after(DirectCluster::Hop, [this, from, to, message] {
             if (DirectNode *node = cluster->node(to.address - 0x0A010000U))
-                node->handle(from, message);
+                node->handle(from, message, cluster->time.now());
         });
     }
 
--- a/tests/usage/usage_exchange_test.cpp
+++ b/tests/usage/usage_exchange_test.cpp
@@ -174,6 +174,29 @@
     cr_assert(fleet->allSeeAll());
 }
 
+// Guards against a report that counts for longer than others, as it waited while its receiver
+// stalled: a daemon that died would count as a follower all the while.
+Test(usageExchange, aReportThatWaitedEndsWhenItWouldHave)
+{
+    constexpr std::size_t stalled = 5;
+    constexpr std::size_t follower = UsageFleet::Roots + stalled * UsageFleet::Followers;
+    const auto fleet = busyFleet(12);
+    const auto follows = [&] {
+        const auto neighbours = fleet->exchange(stalled).neighbours();
+        return std::any_of(neighbours.begin(), neighbours.end(), [](const TreeNeighbour &each) {
+            return each.address == UsageFleet::addressOf(follower);
+        });
+    };
+    const UsageExchangeSettings &settings = fleet->settings;
+    fleet->freeze(stalled, 900ms, false);
+    fleet->time.run(400ms);
+    fleet->kill(follower);
+    fleet->time.run(500ms);
+    cr_assert(follows());
+    fleet->time.run(settings.missedReports * settings.busyInterval + settings.busyInterval - 500ms);
+    cr_assert_not(follows());
+}
+
 // A subtree that changes its source must not count at both for longer than a report lasts.
 Test(usageExchange, changeOfSource)
 {
--- a/tests/usage/usage_fleet.h
+++ b/tests/usage/usage_fleet.h
@@ -70,13 +70,15 @@
         m_daemons[index].exchange.reset();
     }
     /// \brief Stalls a daemon; what comes meanwhile is handled when it resumes.
-    void freeze(std::size_t index, Duration span)
+    /// \param noticed Whether it knows then that it stalled.
+    void freeze(std::size_t index, Duration span, bool noticed = true)
     {
         m_daemons[index].frozen = true;
-        time.after(span, [this, index] {
+        time.after(span, [this, index, noticed] {
             Daemon &daemon = m_daemons[index];
             daemon.frozen = false;
-            daemon.exchange->reset();
+            if (noticed)
+                daemon.exchange->reset();
             for (const auto &event : std::exchange(daemon.missed, {}))
                 event();
         });
@@ -239,9 +241,9 @@
     {
         if (!m_daemons[to].exchange)
             return;
-        at(to, Hop, [this, from, to, bytes] {
+        at(to, Hop, [this, from, to, bytes, receivedAt = time.now() + Hop] {
             if (const auto message = wire::decodeUsage(bytes))
-                m_daemons[to].exchange->handle(from, *message);
+                m_daemons[to].exchange->handle(from, *message, receivedAt);
         });
     }
 
--- a/tests/usage/usage_nodes_test.cpp
+++ b/tests/usage/usage_nodes_test.cpp
@@ -25,7 +25,7 @@
                 cluster->time.after(DirectCluster::Hop, [this, own, to, report] {
                     const std::size_t receiver = to.address - 0x0A010000U;
                     if (!cut && cluster->node(receiver) && !cluster->frozen(receiver))
-                        cluster->node(receiver)->handle(own, report);
+                        cluster->node(receiver)->handle(own, report, cluster->time.now());
                 });
             };
             callbacks.onNotice = [this, index](const NodeNotice &notice) {
