A test: answers that waited through a stall hold no follower back for too long

Looked at for the same cause as with openings: a watch's or a peer's answer that waits in its connection while the process stalls is dated by its reading, so that a copy looks up to a second fresher than it is, the length of stall that may stay unnoticed. Followers then stay with a source that knows no more.

Shown harmless in the forced case: a root stalls for 1 s, is cut off from the store before it wakes, and the change comes then; each phase of its watch, the change 1 to 900 ms into the stall. With three roots the others have it after 1.0 s, with one after 2.84 s, 3 s being allowed.

Tried and taken out: dating such answers by the last check of the process (a callback in both feeds, a second threshold in StallDetector, a check four times a second).

--- a/tests/support/direct_cluster.h
+++ b/tests/support/direct_cluster.h
@@ -67,18 +67,20 @@
 
     /// \brief Stalls the daemon's process. Events that arrive meanwhile are handled when it
     /// resumes.
-    void freeze(std::size_t index, Duration span)
+    /// \param noticed Whether it knows then that it stalled.
+    void freeze(std::size_t index, Duration span, bool noticed = true)
     {
         Daemon &daemon = *m_daemons[index];
         if (!daemon.node || daemon.frozen)
             return;
         daemon.frozen = true;
-        time.after(span, [this, index, span, life = std::weak_ptr{daemon.life}] {
+        time.after(span, [this, index, span, noticed, life = std::weak_ptr{daemon.life}] {
             if (life.expired())
                 return;
             Daemon &woken = *m_daemons[index];
             woken.frozen = false;
-            woken.node->processStalled(span);
+            if (noticed)
+                woken.node->processStalled(span);
             for (const auto &event : std::exchange(woken.missed, {}))
                 event();
         });
