Judge targets by when segments arrived, and reset no flow for an old one

After a stall of their daemon requests could be held for targets that were idle, and a flow whose target had left could be reset although it had its answer.

Cause: found by following the segments that wait beside the openings. An acknowledgement that waited was measured as an answer as late as it was read, so that 40 requests answered in 30 ms looked like 40 that took 3 s, and their target saturated. A request and its retransmission that were read one after the other counted as a target's silence once the reading itself took 150 ms. And a retransmission of seconds ago was ground to reset a flow of a target that had left since, though the answer may have come by another daemon.

Change: answers are measured, and retransmissions counted, by their arrival. What was forwarded after its own answer had arrived isn't measured. A segment that has waited for 150 ms or more resets no flow; it is forwarded, and the caller's next one decides.

--- a/src/core/direct/direct_router.cpp
+++ b/src/core/direct/direct_router.cpp
@@ -241,9 +241,11 @@
             if (tryHold(flow, *target, segment, now))
                 return hold(flow, *target, segment);
             sent(flow, *target, segment, now);
-            if ((target->goneAt || m_targets.isUnreachable(*target)) && flow.retransmits > 0) {
+            const bool lost = target->goneAt || m_targets.isUnreachable(*target);
+            if (lost && flow.retransmits > 0 && segment.waited(now) < MinRetransmitDelay) {
                 // The target is gone or unreachable, and acknowledges nothing: the caller would
-                // wait until its timeout. A reset lets it retry at once.
+                // wait until its timeout. A reset lets it retry at once. A segment that waited is
+                // no ground for it: the answer may have come since.
                 decided(SegmentCause::TargetGone, segment, target, flow.service);
                 release(known->first, flow);
                 m_flows.erase(known);
@@ -302,9 +304,10 @@
     heard(flow, target, now);
     if (!flow.requested)
         return;
-    // Bytes in between went through another daemon, so it is unknown when the request was sent that
-    // this acknowledges. Measured as an answer that took seconds, it made a target look saturated.
-    if (isLater(segment.sequence, flow.end))
+    // Bytes in between went through another daemon, or what this daemon forwards late had been
+    // answered before: it is unknown when the request was sent that this acknowledges. Measured as
+    // an answer that took seconds, it made a target look saturated.
+    if (isLater(segment.sequence, flow.end) || segment.receivedAt.value_or(now) < flow.lastByteAt)
         endRequest(flow, target);
     else
         answered(flow, target, segment, now);
@@ -324,7 +327,8 @@
             ++target.inFlight;
             m_gate.sent(target.entry.id, now);
         }
-    } else if (segment.length > 0 && now - flow.lastByteAt >= MinRetransmitDelay) {
+    } else if (segment.length > 0
+               && segment.receivedAt.value_or(now) - flow.lastByteAt >= MinRetransmitDelay) {
         unanswered(flow, target, now);
     }
     if ((segment.finishes || segment.aborts) && flow.state != FlowState::Closing) {
@@ -336,7 +340,7 @@
 
 void DirectRouter::answered(Flow &flow, DirectTarget &target, const Segment &segment, TimePoint now)
 {
-    const Duration took = now - flow.lastByteAt;
+    const Duration took = segment.receivedAt.value_or(now) - flow.lastByteAt;
     const Duration average{static_cast<Duration::rep>(target.answerMicros)};
     m_targets.answered(target, took, now);
     updateWindow(flow, target, took, segment, now);
--- a/tests/support/direct_fleet.h
+++ b/tests/support/direct_fleet.h
@@ -80,6 +80,12 @@
     }
 
     SegmentVerdict route(const Segment &segment) { return m_router.route(segment, now); }
+    /// \brief Routes a segment that has waited.
+    SegmentVerdict route(Segment segment, Duration waited)
+    {
+        segment.receivedAt = now - waited;
+        return route(segment);
+    }
     /// \brief Runs the router's timeouts; the store confirms its copy at this moment.
     void expire() { m_router.expire(now, {now, std::nullopt}); }
 
