--- a/standins/direct/world.h
+++ b/standins/direct/world.h
@@ -95,6 +95,11 @@
             m_daemons[index].reset();
     }
 
+    /// \return The id of a daemon's process.
+    [[nodiscard]] pid_t processOf(std::size_t index) const { return m_daemons[index]->id(); }
+    /// \return Where a daemon receives its packets.
+    [[nodiscard]] Endpoint packetsOf(std::size_t index) const { return daemonAddress(index, 0); }
+
     /// \brief Closes the reading end of a daemon's log pipe, as if the log reader had died.
     void endLogReader(std::size_t index) { m_daemons[index]->closeOutput(); }
 
@@ -245,6 +250,7 @@
     TargetLog targetLog;
     test::Process::Output output = test::Process::Output::Hidden;
     std::string logDirectory; ///< Directory of the daemons' logs if \a output is File.
+    std::uint32_t logLinesPerSecond = 10000; ///< Of each kind.
 
     /// \return Address of a daemon's metrics and of its administration API for baobabctl.
     [[nodiscard]] Endpoint administrationOf(std::size_t index) const
@@ -331,7 +337,7 @@
              {{"address", "127.0.0.1:" + std::to_string(m_proxies[index]->port())},
               {"timeout", "1s"}}},
             {"roots", roots},
-            {"log", {{"linesPerSecond", 10000}}},
+            {"log", {{"linesPerSecond", logLinesPerSecond}}},
             {"killedAfter", "6s"}};
         return boost::json::serialize(settings);
     }
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -88,6 +88,8 @@
 
     [[nodiscard]] const std::map<std::string, std::uint16_t> &ports() const { return m_ports; }
 
+    [[nodiscard]] pid_t id() const noexcept { return m_id; }
+
     void send(int signal) const
     {
         if (m_id > 0)
