Soak: short stalls in a row, flows that ask again seconds later, lost flows

The soak's pauses missed the fault of the openings that waited: they hardly ever fell between 1 and 2 s, its flows asked again within 50 ms or never, and a flow that lost its target only timed out. Now a daemon stalls one to four times in a row for 0.2 to 3 s, 0.2 s apart, while flows open whose next request comes 2.5 to 5 s later; and targets count the packets of flows that opened at another target, three of which are a finding.

--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -49,6 +49,7 @@
         , m_largeRandom(~seed)
         , m_plannedRandom(seed ^ 0x9E3779B97F4A7C15U)
         , m_returnRandom(~seed ^ 0x9E3779B97F4A7C15U)
+        , m_stallRandom(seed ^ 0xC2B2AE3D27D4EB4FU)
         , m_world(FLAGS_daemons, std::min<std::size_t>(3, FLAGS_daemons), FLAGS_callers)
     {
         m_world.output
@@ -70,6 +71,8 @@
     }
 
 private:
+    static constexpr std::chrono::milliseconds BetweenStalls{200};
+
     void injectFaults()
     {
         std::optional<StoreStalls> stalls;
@@ -81,6 +84,7 @@
             fault();
             largeChange();
             plannedOrLapsed();
+            stallShortly();
             sendSomeRequests();
             m_world.run(std::chrono::milliseconds{draw(20, 700)});
         }
@@ -111,8 +115,18 @@
         if (!m_world.runUntil([&] { return m_world.inRotation() == FLAGS_daemons; }, 20s))
             m_checks.expect(false, "not all daemons were ready within 20 s of the start");
         m_world.coldFor = 3s;
-        for (const auto &caller : m_world.callers())
+        for (const auto &caller : m_world.callers()) {
             caller->feed(World::routeOf(0), "lending", 50ms);
+            openSlowFeed(*caller);
+        }
+    }
+
+    /// \brief Opens a flow that sends its next request only seconds later: until then nobody would
+    /// notice that it has lost its target.
+    void openSlowFeed(Caller &caller)
+    {
+        const int pause = boost::random::uniform_int_distribution<int>{2500, 5000}(m_stallRandom);
+        caller.feed(World::routeOf(0), "lending", std::chrono::milliseconds{pause});
     }
 
     void sendSomeRequests()
@@ -265,6 +279,41 @@
         });
     }
 
+    /// \brief At random steps stalls one daemon up to four times in a row, too shortly to be
+    /// noticed or for longer, while flows open. Uses a random generator of its own, for the same
+    /// reason as largeChange().
+    void stallShortly()
+    {
+        using Draw = boost::random::uniform_int_distribution<int>;
+        const auto daemon
+            = static_cast<std::size_t>(Draw{0, static_cast<int>(FLAGS_daemons) - 1}(m_stallRandom));
+        const std::chrono::milliseconds length{Draw{200, 3000}(m_stallRandom)};
+        // As timed faults have to, a row ends before recover() goes on.
+        constexpr std::chrono::milliseconds longestRow{5000};
+        const auto most = static_cast<int>(longestRow / (length + BetweenStalls));
+        const int stalls = std::min(Draw{1, 4}(m_stallRandom), most);
+        for (int flow = 0; flow < 4; ++flow)
+            openSlowFeed(*m_world.callers()[static_cast<std::size_t>(
+                Draw{0, static_cast<int>(FLAGS_callers) - 1}(m_stallRandom))]);
+        if (Draw{0, 3}(m_stallRandom) == 0)
+            stallInRow(daemon, stalls, length);
+    }
+
+    void stallInRow(std::size_t daemon, int stalls, std::chrono::milliseconds length)
+    {
+        if (stalls == 0 || !m_world.running(daemon) || !m_paused.insert(daemon).second)
+            return;
+        logFault("stall " + std::to_string(daemon) + " for " + std::to_string(length.count())
+                 + " ms");
+        m_world.signal(daemon, SIGSTOP);
+        later(length, [this, daemon, stalls, length] {
+            m_world.signal(daemon, SIGCONT);
+            m_paused.erase(daemon);
+            later(BetweenStalls,
+                  [this, daemon, stalls, length] { stallInRow(daemon, stalls - 1, length); });
+        });
+    }
+
     /// \brief Disturbs the connections through a proxy for a random time.
     /// \param name The proxy's name in the fault log.
     void disturb(TcpProxy &proxy, const std::string &name)
@@ -412,6 +461,7 @@
     Random m_largeRandom;
     Random m_plannedRandom;
     Random m_returnRandom;
+    Random m_stallRandom;
     World m_world;
     SoakChecks m_checks{m_world, m_logs};
     std::vector<std::size_t> m_live; ///< Targets that are neither draining nor crashed.
--- a/bench/soak/soak_checks.h
+++ b/bench/soak/soak_checks.h
@@ -69,6 +69,9 @@
     }
 
 private:
+    /// Packets at another target from which a flow counts as lost.
+    static constexpr std::size_t AstrayPackets = 3;
+
     /// \return A daemon's metrics page. A page that arrives only on the second attempt, or not at
     /// all, is a finding of its own, distinct from an old configuration.
     [[nodiscard]] std::string metricsOf(std::size_t index)
@@ -125,8 +128,9 @@
             m_findings.push_back(describe(flow));
         expect(callers.wrongAnswers == 0, std::to_string(callers.wrongAnswers) + " wrong answers");
         std::cout << "asked " << callers.asked << " answered " << callers.answered << " refused "
-                  << callers.refused << " timed out " << callers.timedOut << " flows ended "
-                  << callers.ended << " broken " << callers.broken << '\n';
+                  << callers.refused << " timed out " << callers.timedOut << ", on open flows "
+                  << callers.lost << ", flows ended " << callers.ended << " broken "
+                  << callers.broken << '\n';
     }
 
     void checkTargets()
@@ -140,6 +144,10 @@
                std::to_string(targets.evacuatedOpens) + " flows opened in an evacuated domain");
         expect(targets.coldOpens == 0,
                std::to_string(targets.coldOpens) + " flows above the limit of a cold target");
+        for (const auto &[caller, packets] : targets.astray)
+            expect(packets < AstrayPackets, "the flow of " + toString(caller) + " sent "
+                                                + std::to_string(packets)
+                                                + " packets to a target at which it isn't open");
         const auto twice = std::count_if(targets.runs.begin(), targets.runs.end(),
                                          [](const auto &item) { return item.second > 1; });
         expect(twice == 0, std::to_string(twice) + " requests ran twice");
--- a/standins/direct/target.h
+++ b/standins/direct/target.h
@@ -34,6 +34,8 @@
     std::size_t lateOpens = 0;       ///< Flows opened after the draining bound of their target.
     std::size_t evacuatedOpens = 0;  ///< Flows opened after the evacuation bound of their domain.
     std::size_t coldOpens = 0;       ///< Flows above the limit per second of a cold target.
+    /// Packets of flows that opened at another target, by the flow's caller.
+    std::map<Endpoint, std::size_t> astray;
 };
 
 /// \brief A target that answers its callers directly (direct server return). A request is
@@ -138,7 +140,9 @@
             return;
         }
         flow.open = flow.open || packet->ack == firstSequence() + 1;
-        if (flow.open && !packet->data.empty())
+        if (!flow.open)
+            ++m_log.astray[packet->source];
+        else if (!packet->data.empty())
             request(*packet, flow, daemon);
     }
 
