Without arrival stamps, call nothing old that came after the stall

What callers saw, where the kernel gives no stamps: after a stall of their daemon the first openings were dropped though they had just come, and their flows opened 0.2 s later.

Cause: a noticed stall marked the receive buffer as old until it was next empty. Where nothing was unread, that is after the next read, whenever it comes.

Change: only a buffer that holds something at the stall's end is marked.

Test: arrivalClock/withoutStampsWhatWasUnreadAfterAStallIsAsOldAsThat, failed before.

--- a/src/core/direct/direct_router.cpp
+++ b/src/core/direct/direct_router.cpp
@@ -134,7 +134,7 @@
 {
     const Route *route = m_routes->find(segment.flow.service);
     const ServiceId service = route ? serviceOf(*route, segment.flow) : ServiceId{};
-    // Nor is it refused: a reset might end the flow that a later copy has opened.
+    // Dropped, not refused: a reset might end the flow that a later copy has opened.
     if (placeableUntil(segment).value_or(now) < now) {
         decided(SegmentCause::Expired, segment, nullptr, service);
         return DropSegment{};
--- a/src/daemon/net/arrival_clock.h
+++ b/src/daemon/net/arrival_clock.h
@@ -54,9 +54,11 @@
 
     /// \brief The process stalled: until the receive buffer is empty, datagrams without a stamp may
     /// have waited since then.
-    void stalled(TimePoint since) noexcept
+    /// \param hasUnread Whether it holds any now.
+    void stalled(TimePoint since, bool hasUnread) noexcept
     {
-        m_stalledSince = m_stalledSince.value_or(std::max(since, m_emptyAt));
+        if (hasUnread)
+            m_stalledSince = m_stalledSince.value_or(std::max(since, m_emptyAt));
     }
 
     /// \param stamp Of a datagram of the last read; nothing where the kernel gave none.
--- a/src/daemon/net/udp_socket.cpp
+++ b/src/daemon/net/udp_socket.cpp
@@ -140,6 +140,11 @@
     });
 }
 
+void UdpSocket::processStalled(TimePoint since)
+{
+    m_arrivals.stalled(since, hasUnread());
+}
+
 bool UdpSocket::hasUnread() const
 {
     boost::system::error_code ignored; // A failed socket is reported by waitForDatagrams().
--- a/src/daemon/net/udp_socket.h
+++ b/src/daemon/net/udp_socket.h
@@ -50,9 +50,9 @@
 
     /// \brief Sets a function that is called before each batch of datagrams is read.
     void beforeBatch(std::function<void()> call) { m_beforeBatch = std::move(call); }
-    /// \brief The process stalled: what the kernel's receive buffer holds now may be as old as
-    /// that.
-    void processStalled(TimePoint since) noexcept { m_arrivals.stalled(since); }
+    /// \brief The process stalled: what the kernel's receive buffer holds now, if anything, may be
+    /// as old as that.
+    void processStalled(TimePoint since);
 
     /// \return Whether the kernel's receive buffer holds datagrams.
     [[nodiscard]] bool hasUnread() const;
--- a/tests/daemon/arrival_clock_test.cpp
+++ b/tests/daemon/arrival_clock_test.cpp
@@ -72,6 +72,18 @@
     cr_assert(clock.arrivedAt(wallOf(Start + 1s)) == Start + 4s);
 }
 
+// Guards against openings that are dropped though they came after a stall: nothing was unread then.
+Test(arrivalClock, withoutStampsWhatWasUnreadAfterAStallIsAsOldAsThat)
+{
+    ArrivalClock clock = clockThatReads(3s);
+    clock.stalled(Start + 1s, false);
+    cr_assert(clock.arrivedAt(std::nullopt) == Start + 3s);
+    clock.stalled(Start + 1s, true);
+    cr_assert(clock.arrivedAt(std::nullopt) == Start + 1s);
+    clock.emptied(Start + 3s);
+    cr_assert(clock.arrivedAt(std::nullopt) == Start + 3s);
+}
+
 // Guards against a socket that takes what waited in its buffer as if it had just come.
 Test(arrivalClock, aSocketTellsWhenItsDatagramsArrived)
 {
