--- a/review/harness-2/deployment.h
+++ b/review/harness-2/deployment.h
@@ -197,6 +197,9 @@
         call(http::verb::delete_, "/baobabtrail/objects/servers/" + name, nullptr);
     }
     static constexpr std::string_view HalfCharacter = "HALF-CHARACTER";
+    /// \brief Stands for arrays in arrays, DeepBy deep, in the place of a text.
+    static constexpr std::string_view DeepArray = "DEEP-ARRAY";
+    static constexpr std::size_t DeepBy = 600;
     /// \brief The server reports draining; the store accepts it now.
     void drain(Server &server)
     {
@@ -305,10 +308,19 @@
             beatFrom(server, BeatInterval);
     }
 
+    /// \brief Puts what this stand-in's library does not store in the place of its marks.
     static void replaceMark(std::string &body)
     {
-        for (auto at = body.find(HalfCharacter); at != body.npos; at = body.find(HalfCharacter, at))
-            body.replace(at, HalfCharacter.size(), "\\ud83d");
+        const std::string deep = '"' + std::string{DeepArray} + '"';
+        const std::string nested = std::string(DeepBy, '[') + std::string(DeepBy, ']');
+        replaceAll(body, HalfCharacter, "\\ud83d");
+        replaceAll(body, deep, nested);
+    }
+
+    static void replaceAll(std::string &body, std::string_view mark, std::string_view text)
+    {
+        for (auto at = body.find(mark); at != body.npos; at = body.find(mark, at))
+            body.replace(at, mark.size(), text);
     }
 
     void call(http::verb verb, const std::string &path, const boost::json::value &body)
--- a/review/harness-2/odd_entry.cpp
+++ b/review/harness-2/odd_entry.cpp
@@ -18,6 +18,8 @@
 int main(int argc, char **argv)
 {
     const bool trouble = argc < 3 || std::string{argv[2]} != "0";
+    const char *variant = std::getenv("ODD");
+    const bool deep = variant && std::string{variant} == "deep";
     Record record{argc > 1 ? argv[1] : "record.txt"};
     asio::io_context context;
     Deployment deployment{context, record};
@@ -52,7 +54,17 @@
     }
     const double begin = record.seconds();
     until(begin + 4);
-    if (trouble) {
+    if (trouble && deep) {
+        deployment.writeEntry(boost::json::object{{"meta", {{"name", "i-0badc0de"}}},
+                                                  {"spec",
+                                                   {{"service", "lending"},
+                                                    {"address", "127.0.2.200:9"},
+                                                    {"zone", "alx-raml"},
+                                                    {"version", Deployment::DeepArray},
+                                                    {"state", "ready"}}}});
+        record.line("another writer created an entry; its version is of another type, arrays in ",
+                    "arrays, and slots, warmup_left_ms and seq are missing");
+    } else if (trouble) {
         deployment.writeEntry(
             boost::json::object{{"meta", {{"name", "i-0badc0de"}}},
                                 {"spec",
