--- a/review/harness-2/deployment.h
+++ b/review/harness-2/deployment.h
@@ -6,7 +6,7 @@
 
 #include "client.h"
 
-#include <boost/asio/connect.hpp>
+#include <boost/asio/signal_set.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -76,17 +76,17 @@
         for (std::size_t index = 0; index < m_daemons.size(); ++index)
             start(index, true);
         probeLater();
+        m_ends.async_wait([this](boost::system::error_code error, int) {
+            if (error)
+                return;
+            endDaemons();
+            std::_Exit(2);
+        });
     }
 
     ~Deployment()
     {
-        for (Daemon &daemon : m_daemons) {
-            if (daemon.process <= 0)
-                continue;
-            ::kill(daemon.process, SIGKILL);
-            ::kill(daemon.process, SIGCONT);
-            ::waitpid(daemon.process, nullptr, 0);
-        }
+        endDaemons();
         std::error_code ignored;
         if (!std::getenv("KEEP_LOGS"))
             std::filesystem::remove_all(m_directory, ignored);
@@ -271,6 +271,16 @@
         return path;
     }
 
+    void endDaemons()
+    {
+        for (Daemon &daemon : m_daemons) {
+            if (daemon.process <= 0)
+                continue;
+            ::kill(daemon.process, SIGKILL);
+            ::waitpid(daemon.process, nullptr, 0);
+        }
+    }
+
     void addDaemon(std::size_t zone, int index)
     {
         Daemon daemon;
@@ -479,6 +489,7 @@
     }
 
     asio::io_context &m_context;
+    asio::signal_set m_ends{m_context, SIGTERM, SIGINT}; ///< Of this process, by its caller.
     Record &m_record;
     std::string m_grace;
     standins::PlatformService m_service;
