--- a/src/core/direct/direct_node.cpp
+++ b/src/core/direct/direct_node.cpp
@@ -132,6 +132,7 @@
             return;
         m_router.expire(m_callbacks.feed.now(),
                         {m_targets.copy.confirmedAt(), m_targets.copy.storeReturnedAt()});
+        settleClaims(); // A lapsed owner may have been declared gone.
         startProbes();
         m_relay.expire();
         refreshUsage();
--- a/src/core/direct/direct_node.h
+++ b/src/core/direct/direct_node.h
@@ -2,6 +2,7 @@
 
 #include "core/direct/direct_router.h"
 #include "core/direct/held_segments.h"
+#include "core/direct/target_claims.h"
 #include "core/direct/waiting_segments.h"
 #include "core/directory/peer_feed.h"
 #include "core/directory/store_feed.h"
@@ -305,7 +306,17 @@
     void refreshEvidence();
     /// \brief Applies the view again, so that plans of a view that got too old end.
     void refreshUsage();
-    void refuseTarget(const std::string &key, DirectoryFinding finding);
+    /// \return The target whose id the registration of that key owns; null where there is none.
+    [[nodiscard]] const DirectTarget *ownedBy(const std::string &key) const;
+    /// \brief Puts a readable registration into use, or lets it wait. \see TargetClaims
+    void claim(const std::string &key, RegisteredTarget target, TimePoint now);
+    /// \brief Gives each contested id to the registration that ranks first; to be called after each
+    /// change that may decide otherwise.
+    void settleClaims();
+    [[nodiscard]] bool takesOver(const RegisteredTarget &target, const DirectTarget *owner) const;
+    void use(const RegisteredTarget &target, TimePoint now);
+    /// \param waits The registration is readable and may be used later.
+    void refuseTarget(const std::string &key, DirectoryFinding finding, bool waits = false);
     void refuse(const std::string &key, DirectoryFinding finding, bool replaces);
     void notice(const NodeNotice &notice) const;
     void expirePeriodically();
@@ -349,6 +360,8 @@
     /// Last error reported for each invalid object, by key; its writer may write it again and
     /// again.
     std::map<std::string, std::string> m_refused;
+    TargetClaims m_claims{
+        [this](ServiceId service) { return m_router.routes().serviceNames.contains(service); }};
     std::vector<Endpoint> m_roots;
     bool m_isRoot = true;
     bool m_readsStore = false; ///< As last noticed.
--- a/src/core/direct/direct_node_directory.cpp
+++ b/src/core/direct/direct_node_directory.cpp
@@ -41,27 +41,9 @@
         m_router.setRoutes(routes);
         notice(RoutesInForce{*routes, change.version});
     }
-}
-
-void DirectNode::applyTargets(const CollectionChange &change)
-{
-    const TimePoint now = m_callbacks.feed.now();
-    for (const StoredObject &object : change.written) {
-        const auto read = m_callbacks.reader.target(object);
-        if (const auto *finding = std::get_if<DirectoryFinding>(&read)) {
-            refuseTarget(object.key, *finding);
-            continue;
-        }
-        m_refused.erase(object.key);
-        const auto &target = std::get<RegisteredTarget>(read);
-        if (m_router.putTarget(target, now))
-            m_evidence.forget(target.id);
-    }
-    for (const std::string &key : change.removed) {
+    for (const std::string &key : change.removed)
         m_refused.erase(key);
-        if (const auto target = m_callbacks.reader.targetId(key))
-            m_router.removeTarget(*target, change.afterOutage, now);
-    }
+    settleClaims(); // Other services may be declared now.
 }
 
 // The key is enough: an entry with unreadable contents was still written to evacuate the domain.
@@ -263,17 +245,6 @@
     });
 }
 
-// An unreadable entry also takes the target out of use that was registered under its key before, as
-// its writer may have meant to remove that target. Open flows stay.
-void DirectNode::refuseTarget(const std::string &key, DirectoryFinding finding)
-{
-    const auto target = m_callbacks.reader.targetId(key);
-    const bool replaces = target && m_router.targets().find(*target) != nullptr;
-    if (replaces)
-        m_router.refuseTarget(*target);
-    refuse(key, std::move(finding), replaces);
-}
-
 void DirectNode::refuse(const std::string &key, DirectoryFinding finding, bool replaces)
 {
     std::string text = finding.place + ": " + finding.text;
--- a/tests/adapter/registry_test.cpp
+++ b/tests/adapter/registry_test.cpp
@@ -165,3 +165,13 @@
         cr_assert(std::holds_alternative<DirectoryFinding>(result), "%s", bytes.c_str());
     }
 }
+
+// Guards against routes of another writer that replace the operator's, as they are of the same
+// kind.
+Test(registry, onlyTheOperatorsObjectHoldsRoutes)
+{
+    for (const std::string key : {"routes/main.tmp", "routes/Main", "routes/other", "routes/"})
+        cr_assert(
+            std::holds_alternative<DirectoryFinding>(readRoutes({key, Config, ObjectVersion{1}})),
+            "%s", key.c_str());
+}
--- a/tests/support/direct_cluster.h
+++ b/tests/support/direct_cluster.h
@@ -16,8 +16,8 @@
 
 /// \brief Several DirectNodes with a fake store and a network between them, in virtual time.
 ///
-/// A target's object in the store holds "SERVICE STATE" ("x ready", "x draining"); the object of
-/// the routes holds their version.
+/// A target's object in the store holds "SERVICE STATE" ("x ready", "x draining"); one without a
+/// state can't be read. The object of the routes holds their version.
 class DirectCluster
 {
 public:
@@ -362,13 +362,17 @@
         };
         reader.target
             = [](const StoredObject &object) -> std::variant<RegisteredTarget, DirectoryFinding> {
+            const std::size_t space = object.value.find(' ');
+            if (space == std::string::npos)
+                return DirectoryFinding{object.key, "has no state"};
+            const std::string service = object.value.substr(0, space);
             RegisteredTarget target;
             target.id = TargetId{std::stoull(object.key.substr(TargetsPrefix.size()))};
-            target.name = object.key;
-            target.service = serviceId("x", "x");
+            target.name = object.key.substr(TargetsPrefix.size());
+            target.service = serviceId(service, service);
             target.domain = "d0";
             target.address = {0x0B000000U + static_cast<std::uint32_t>(target.id.value()), 80};
-            target.draining = object.value == "x draining";
+            target.draining = object.value.ends_with(" draining");
             return target;
         };
         reader.targetId = [](const std::string &key) -> std::optional<TargetId> {
