--- a/src/daemon/direct/direct_daemon.cpp
+++ b/src/daemon/direct/direct_daemon.cpp
@@ -335,7 +335,7 @@
     // Requests still held would be lost with the process, and their callers would not be notified.
     if (m_node)
         m_node->stopHolding();
-    m_stopTimer.start(std::max(m_settings.killedAfter - KillMargin, Duration{0}),
+    m_stopTimer.start(m_settings.killedAfter - std::min(KillMargin, m_settings.killedAfter / 2),
                       [this] { finish(ExitStatus::Done); });
     const auto unread = [this] { return m_packets && m_packets->hasUnread(); };
     m_quiet.start(m_settings.stopLinger, {m_metrics.packets.datagramsIn, unread},
--- a/src/daemon/settings/direct_settings_reader.cpp
+++ b/src/daemon/settings/direct_settings_reader.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// Flows of a departed target are never forwarded for longer.
+constexpr Duration MaxLifetime = std::chrono::years{10};
+
 void readFeed(ObjectReader &reader, StoreFeedSettings &out)
 {
     reader.duration("watchWait", out.watchWait, 100ms, 30s);
@@ -42,7 +45,7 @@
     reader.number("suspectAfter", out.suspectAfter, 1, 1000);
     reader.duration("trialEvery", out.trialEvery, 10ms, 10min);
     reader.duration("lapsedFor", out.lapsedFor, 0s, 10min);
-    reader.duration("lifetime", out.flowLifetime, 1s, 24h);
+    reader.bound("lifetime", out.flowLifetime, 1s, MaxLifetime, Rounding::Up);
     reader.duration("idleTimeout", out.idleTimeout, 1s, 24h);
     reader.number("maxFlows", out.maxFlows, 16, 16 << 20);
 }
@@ -136,7 +139,7 @@
     reader.section(
         "store", [&](ObjectReader &nested) { readPlatform(nested, out.store); },
         Presence::Required);
-    reader.duration("killedAfter", out.killedAfter, 0s, 1h);
+    reader.bound("killedAfter", out.killedAfter, 0s, 1h, Rounding::Down);
     reader.duration("stopLinger", out.stopLinger, 0s, 10min);
     reader.section("sockets", [&](ObjectReader &nested) { readSockets(nested, out.sockets); });
     reader.section("log", [&](ObjectReader &nested) { readLog(nested, out.log); });
--- a/src/daemon/settings/object_reader.cpp
+++ b/src/daemon/settings/object_reader.cpp
@@ -1,7 +1,5 @@
 #include "daemon/settings/object_reader.h"
 
-#include "daemon/settings/duration_text.h"
-
 #include <algorithm>
 #include <numeric>
 #include <optional>
@@ -89,17 +87,31 @@
     out = *parsed;
 }
 
-void ObjectReader::duration(std::string_view key, Duration &out, Duration min, Duration max)
+std::optional<Duration> ObjectReader::readDuration(std::string_view key, Rounding rounding)
 {
     const boost::json::value *found = find(key, Presence::Optional);
     if (!found)
+        return std::nullopt;
+    const auto parsed = found->is_string()
+                            ? parseDuration(std::string_view{found->get_string()}, rounding)
+                            : std::nullopt;
+    if (!parsed)
+        addFinding(key, "expected a time with its unit, as \"300ms\", \"2.5s\" or \"10min\"");
+    return parsed;
+}
+
+void ObjectReader::bound(std::string_view key, Duration &out, Duration min, Duration max,
+                         Rounding rounding)
+{
+    if (const auto parsed = readDuration(key, rounding))
+        out = std::clamp(*parsed, min, max);
+}
+
+void ObjectReader::duration(std::string_view key, Duration &out, Duration min, Duration max)
+{
+    const auto parsed = readDuration(key, Rounding::Down);
+    if (!parsed)
         return;
-    const auto parsed
-        = found->is_string() ? parseDuration(std::string_view{found->get_string()}) : std::nullopt;
-    if (!parsed) {
-        addFinding(key, "expected a time with its unit, as \"300ms\", \"2s\" or \"10min\"");
-        return;
-    }
     if (*parsed < min || *parsed > max) {
         addFinding(key, "must lie between " + toString(min) + " and " + toString(max));
         return;
--- a/src/daemon/settings/object_reader.h
+++ b/src/daemon/settings/object_reader.h
@@ -2,6 +2,7 @@
 
 #include "core/endpoint.h"
 #include "core/time.h"
+#include "daemon/settings/duration_text.h"
 #include "daemon/settings/findings.h"
 
 #include <boost/json/object.hpp>
@@ -9,6 +10,7 @@
 
 #include <concepts>
 #include <limits>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,6 +37,9 @@
     void text(std::string_view key, std::string &out, Presence presence = Presence::Optional);
     void endpoint(std::string_view key, Endpoint &out, Presence presence = Presence::Optional);
     void duration(std::string_view key, Duration &out, Duration min, Duration max);
+    /// \brief Reads a time that the platform sets for all its VMs, any number of its unit. One out
+    /// of range becomes the nearest one within: a finding would keep every daemon from starting.
+    void bound(std::string_view key, Duration &out, Duration min, Duration max, Rounding rounding);
 
     template <std::unsigned_integral Number>
     void number(std::string_view key, Number &out, std::uint64_t min,
@@ -105,6 +110,8 @@
 private:
     [[nodiscard]] const boost::json::value *find(std::string_view key, Presence presence);
     [[nodiscard]] std::string pathOf(std::string_view key) const;
+    /// \return The time, or nothing where the key is absent or has another value.
+    [[nodiscard]] std::optional<Duration> readDuration(std::string_view key, Rounding rounding);
     bool readNumber(std::string_view key, std::uint64_t &out, std::uint64_t min, std::uint64_t max,
                     Presence presence);
 
--- a/tests/adapter/registry_test.cpp
+++ b/tests/adapter/registry_test.cpp
@@ -148,6 +148,13 @@
         {R"("slots":2)", R"("slots":"2")"},
         {R"("state":"ready")", R"("state":"resting")"},
         {R"("warmup_left_ms":1500,)", ""},
+        {R"("warmup_left_ms":1500)", R"("warmup_left_ms":null)"},
+        {R"("warmup_left_ms":1500)", R"("warmup_left_ms":-0.5)"},
+        {R"("warmup_left_ms":1500)", R"("warmup_left_ms":4294967296)"},
+        {R"("slots":2)", R"("slots":4294967296)"},
+        {R"("slots":2)", R"("slots":1.5)"},
+        {R"("seq":4)", R"("seq":4.5)"},
+        {R"("seq":4)", R"("seq":18446744073709551616)"},
         {R"("version":"v1",)", ""},
         {R"(,"seq":4)", ""},
         {R"(,"seq":4)", R"(,"seq":[4])"}};
@@ -175,3 +182,27 @@
             std::holds_alternative<DirectoryFinding>(readRoutes({key, Config, ObjectVersion{1}})),
             "%s", key.c_str());
 }
+
+// Guards against a configuration or a target that is refused, as a figure of it is a fraction.
+Test(registry, figuresMayBeFractions)
+{
+    std::string config = Config;
+    for (const auto &[from, to] : {std::pair<std::string, std::string>{":2000", ":1999.5"},
+                                   {":120", ":0.25"},
+                                   {"15000}}", "1.5e4}}"},
+                                   {"\"weight\":90", "\"weight\":0.9"},
+                                   {"\"weight\":10", "\"weight\":0.1"}})
+        config.replace(config.find(from), from.size(), to);
+    const auto result = readRoutes({"routes/main", config, ObjectVersion{1}});
+    cr_assert(std::holds_alternative<RouteTable>(result));
+    const RouteTable &table = std::get<RouteTable>(result);
+    const Route *route = table.find(*parseEndpoint("198.18.0.1:8443"));
+    cr_assert(route->policy.timeout == 1999500us && route->policy.latency == 250us);
+    cr_assert(table.idleTimeout == 15s);
+    cr_assert(route->shares.front().weight == 900 && route->shares.back().weight == 100);
+
+    std::string target = Target;
+    target.replace(target.find("1500"), 4, "0.0001");
+    const auto read = readTarget({"targets/i-1", target, ObjectVersion{1}});
+    cr_assert(std::get<RegisteredTarget>(read).warmUpLeft == 1us);
+}
--- a/tests/direct-system/direct_system_test.cpp
+++ b/tests/direct-system/direct_system_test.cpp
@@ -39,6 +39,26 @@
     return std::stod(page.substr(at + name.size() + 2));
 }
 
+/// \brief Moves the store of all daemons to another address and expects that a route which is added
+/// afterwards is served.
+void expectMovedStoreInUse(DirectSystem &system)
+{
+    World &world = system.world;
+    for (std::size_t index = 0; index < Daemons; ++index)
+        world.moveStore(index);
+    world.run(100ms);
+    world.setRoute(2, true);
+    const std::size_t answered = world.callerLog.singleAnswered;
+    const auto served = [&] {
+        for (const auto &caller : world.callers())
+            caller->ask(World::routeOf(2), "lending");
+        world.run(200ms);
+        return world.callerLog.singleAnswered > answered;
+    };
+    cr_assert(world.runUntil(served, 8s));
+    system.expectNoViolations();
+}
+
 } // namespace
 
 // Guards against broken flows when one daemon stops and another one is killed while feeds are open.
@@ -225,20 +245,16 @@
 Test(directSystem, changedSettingsApplyWithoutASignal)
 {
     DirectSystem system;
-    World &world = system.world;
-    for (std::size_t index = 0; index < Daemons; ++index)
-        world.moveStore(index);
-    world.run(100ms);
-    world.setRoute(2, true);
-    const std::size_t answered = world.callerLog.singleAnswered;
-    const auto served = [&] {
-        for (const auto &caller : world.callers())
-            caller->ask(World::routeOf(2), "lending");
-        world.run(200ms);
-        return world.callerLog.singleAnswered > answered;
-    };
-    cr_assert(world.runUntil(served, 8s));
-    system.expectNoViolations();
+    expectMovedStoreInUse(system);
+}
+
+// Guards against a running daemon that refuses changed settings as a whole, the store's new address
+// included, as a bound in them has become a fraction.
+Test(directSystem, aFractionInChangedSettingsHidesNoNewStore)
+{
+    DirectSystem system;
+    system.world.killedAfter = "6.5s";
+    expectMovedStoreInUse(system);
 }
 
 // Guards against a baobabctl top that lacks the view, the counters or the targets of a daemon with
--- a/tests/language/parse_test.cpp
+++ b/tests/language/parse_test.cpp
@@ -118,3 +118,12 @@
         cr_expect(error == each.error, "%s: %s", each.text, error.c_str());
     }
 }
+
+// Guards against a time that is taken for another one, as it is a fraction or beyond its integer.
+Test(parse, timesAreWholeSecondsInRange)
+{
+    for (const char *text :
+         {"wait for revision 7 timeout 1.5s", "wait for revision 7 timeout 99999999999999999999s",
+          "wait for revision 18446744073709551616", "wait for revision 7 timeout -1s"})
+        cr_assert(!errorOf(text).empty(), "%s", text);
+}
