--- a/src/core/directory/store_feed.cpp
+++ b/src/core/directory/store_feed.cpp
@@ -221,13 +221,22 @@
         return;
     }
     onSuccess();
+    // Overtaken by another daemon's news. A removal in it may be undone by now, and nobody would
+    // send the object again to a copy of the newer version; a write in it may be of an object that
+    // is gone. The next watch, from the copy's own version, brings what is still missing.
+    if (list->latest < m_copy.version()) {
+        m_callEnded(StoreCallResult{});
+        schedule(m_settings.batchDelay, &StoreFeed::watch);
+        return;
+    }
+    const Duration asked = m_confirmOnly ? ConfirmWait : m_settings.watchWait;
     const bool confirmed = std::exchange(m_confirmOnly, false);
     const bool changed = !list->objects.empty() || !list->removed.empty();
-    const ObjectVersion version = std::max(list->latest, m_copy.version());
-    if (const auto change = m_copy.applyChanges(
-            {std::move(list->objects), std::move(list->removed), version, storeReturnedRecently()}))
+    if (const auto change = m_copy.applyChanges({std::move(list->objects), std::move(list->removed),
+                                                 list->latest, storeReturnedRecently()}))
         m_changed(*change);
-    m_copy.confirm(m_callbacks.now());
+    // The store ended the wait then at the latest, however long its answer was on its way.
+    m_copy.confirm(std::min(m_callbacks.now(), calledAt + asked));
     m_callEnded(StoreCallResult{});
     const bool tooShort = !confirmed && m_callbacks.now() - calledAt < MinWatch;
     if (changed || tooShort)
--- a/tests/directory/store_feed_test.cpp
+++ b/tests/directory/store_feed_test.cpp
@@ -1,6 +1,6 @@
 #include "core/directory/store_feed.h"
 
-#include "support/fake_directory_store.h"
+#include "support/store_feed_fixture.h"
 
 #include <criterion/criterion.h>
 
@@ -9,50 +9,13 @@
 
 namespace {
 
-constexpr std::uint64_t Targets = 120;
+constexpr std::uint64_t Targets = StoreFeedFixture::DefaultTargets;
 
 [[nodiscard]] std::string keyOf(std::uint64_t target)
 {
-    return "targets/" + std::to_string(1000 + target);
+    return StoreFeedFixture::keyOf(target);
 }
 
-/// \brief A store with a list of three pages, and a feed that has not started.
-struct StoreFeedFixture
-{
-    VirtualTime time;
-    FakeDirectoryStore store{time};
-    Random random{1};
-    StoreRetry retry{3s, {callbacks().now, callbacks().after}, random};
-    CollectionCopy copy;
-    std::vector<CollectionChange> changes;
-    StoreFeed feed;
-
-    StoreFeedFixture()
-        : feed(
-            "targets/", {}, callbacks(), random, retry, copy,
-            [this](const CollectionChange &change) { changes.push_back(change); },
-            [](const StoreCallResult &) {})
-    {
-        store.pageObjects = 50;
-        for (std::uint64_t target = 0; target < Targets; ++target)
-            store.put(keyOf(target), "ready");
-    }
-
-    [[nodiscard]] StoreFeedCallbacks callbacks()
-    {
-        StoreFeedCallbacks callbacks;
-        callbacks.now = [this] { return time.now(); };
-        callbacks.after = [this](Duration wait, std::function<void()> call) {
-            time.after(wait, std::move(call));
-        };
-        callbacks.call
-            = [this](const PlatformRequest &request, std::function<void(PlatformResult)> done) {
-                  store.call(0, request, std::move(done));
-              };
-        return callbacks;
-    }
-};
-
 } // namespace
 
 // Pages from old replicas are cheap, but would bring back a target that was drained since. The list
--- a/tests/support/fake_directory_store.h
+++ b/tests/support/fake_directory_store.h
@@ -66,6 +66,16 @@
     bool silent = false;   ///< Calls end with their callers' timeouts.
     std::set<int> refused; ///< Callers whose calls fail, while others are served.
     std::set<int> cut;     ///< Callers whose calls are lost.
+    /// Callers whose answers are held up on their way until release().
+    std::set<int> heldUp;
+
+    /// \brief Delivers the held-up answers of a caller, in their order.
+    void release(int caller)
+    {
+        heldUp.erase(caller);
+        for (const auto &deliver : std::exchange(m_heldUp[caller], {}))
+            m_time.after(Latency / 2, deliver);
+    }
 
     /// \brief From now on, calls that allow stale answers get the objects of this moment.
     void lag()
@@ -143,6 +153,10 @@
             m_time.after(CallTimeout, [done] { done(PlatformFailure{"no answer"}); });
             return;
         }
+        if (heldUp.contains(caller)) {
+            m_heldUp[caller].push_back([done, result] { done(result); });
+            return;
+        }
         m_time.after(Latency / 2, [done, result] { done(result); });
     }
 
@@ -257,6 +271,7 @@
     std::uint64_t m_calls = 0;
     std::uint64_t m_cheapCalls = 0;
     std::map<std::string, std::uint64_t, std::less<>> m_callsOn;
+    std::map<int, std::vector<std::function<void()>>> m_heldUp; ///< Answers, by caller.
     std::map<std::string, StoredObject> m_oldObjects;
     std::uint64_t m_oldRevision = 0;
     bool m_lags = false;
