--- a/src/core/control/quarantine_check.cpp
+++ b/src/core/control/quarantine_check.cpp
@@ -47,6 +47,8 @@
         m_swim.applyVmList(*list);
         for (const VmEntry &vm : list->vms)
             pending->live.emplace(vm.daemon, vm.domain);
+        for (const DaemonId daemon : list->unreadable)
+            pending->live.emplace(daemon, "unknown domain");
         queryDomains(pending);
     });
 }
--- a/src/core/membership/remote_members.cpp
+++ b/src/core/membership/remote_members.cpp
@@ -23,14 +23,18 @@
     return true;
 }
 
-std::vector<DaemonId> RemoteMembers::applyVmList(const std::vector<VmEntry> &vms,
-                                                 const std::string &ownDomain, TimePoint now)
+std::vector<DaemonId> RemoteMembers::applyVmList(const VmList &list, const std::string &ownDomain,
+                                                 TimePoint now)
 {
     std::vector<DaemonId> changed;
     for (auto &[id, entry] : m_entries)
         entry.listed = false;
 
-    for (const VmEntry &vm : vms) {
+    for (const DaemonId daemon : list.unreadable) {
+        if (const auto known = m_entries.find(daemon); known != m_entries.end())
+            known->second.listed = true;
+    }
+    for (const VmEntry &vm : list.vms) {
         if (vm.domain == ownDomain)
             continue;
         const auto [position, added] = m_entries.try_emplace(vm.daemon);
--- a/src/core/membership/remote_members.h
+++ b/src/core/membership/remote_members.h
@@ -21,7 +21,7 @@
     /// \brief Applies the VM list.
     /// \return Daemons whose changes should be passed on; none for the first list, which every
     /// daemon reads itself at startup.
-    [[nodiscard]] std::vector<DaemonId> applyVmList(const std::vector<VmEntry> &vms,
+    [[nodiscard]] std::vector<DaemonId> applyVmList(const VmList &list,
                                                     const std::string &ownDomain, TimePoint now);
     /// \brief Applies an update that another daemon passed on.
     /// \return Whether it should be passed on.
--- a/src/core/membership/swim_updates.cpp
+++ b/src/core/membership/swim_updates.cpp
@@ -125,7 +125,7 @@
 
 void Swim::applyVmList(const VmList &list)
 {
-    for (const DaemonId id : m_remote.applyVmList(list.vms, m_self.domain, m_context.now()))
+    for (const DaemonId id : m_remote.applyVmList(list, m_self.domain, m_context.now()))
         m_rumors.add(id);
 
     std::map<DaemonId, Candidate> candidates;
--- a/src/core/messages/platform.h
+++ b/src/core/messages/platform.h
@@ -114,6 +114,8 @@
 struct VmList
 {
     std::vector<VmEntry> vms;
+    /// Daemons whose VMs are listed by entries that are otherwise unreadable.
+    std::vector<DaemonId> unreadable = {};
 };
 /// \brief No usable result: refused, timed out, or the reply was lost. A write may still have taken
 /// effect.
--- a/src/wire/view_form.cpp
+++ b/src/wire/view_form.cpp
@@ -1,9 +1,9 @@
 #include "wire/view_form.h"
 
 #include "core/base64.h"
+#include "core/bounded_json.h"
 #include "core/directory/value_patch.h"
 #include "core/directory/whole_copy.h"
-#include "core/lenient_json.h"
 #include "wire/answer_reader.h"
 #include "wire/packed_text.h"
 
@@ -278,7 +278,7 @@
 [[nodiscard]] std::optional<Result> parsed(std::string_view text, Read read)
 {
     try {
-        const json::value root = parseLeniently(text);
+        const json::value root = parseBounded(text);
         return read(root.as_object());
     } catch (const std::exception &) {
         return std::nullopt; // The caller treats and reports it as a missing answer.
--- a/standins/direct/operated_store.h
+++ b/standins/direct/operated_store.h
@@ -91,6 +91,18 @@
     }
     void unregister(std::uint64_t target) const { call(Verb::delete_, pathOf(target)); }
 
+    // Writes of another writer.
+
+    /// \brief Adds entries of which each reader gets \a content, the text of any JSON value.
+    /// \param kind Kind of the platform, such as "servers".
+    void writeOdd(const std::string &kind, const std::string &name,
+                  const std::string &content) const
+    {
+        setSwitches(boost::json::serialize(boost::json::object{{"oddText", content}}));
+        post(kind, boost::json::serialize(
+                       boost::json::object{{"meta", {{"name", name}}}, {"spec", "@odd"}}));
+    }
+
 private:
     using Verb = boost::beast::http::verb;
 
--- a/standins/direct/world.h
+++ b/standins/direct/world.h
@@ -95,6 +95,8 @@
             m_daemons[index].reset();
     }
 
+    /// \return Whether a daemon has ended by itself.
+    [[nodiscard]] bool hasEnded(std::size_t index) const { return m_daemons[index]->ended(); }
     /// \return The id of a daemon's process.
     [[nodiscard]] pid_t processOf(std::size_t index) const { return m_daemons[index]->id(); }
     /// \return Where a daemon receives its packets.
@@ -128,6 +130,11 @@
 
     void setSwitches(const std::string &json) { m_store.setSwitches(json); }
     void compact() { m_store.compact(); }
+    /// \brief Another writer leaves an entry. \see OperatedStore::writeOdd
+    void writeOdd(const std::string &kind, const std::string &name, const std::string &content)
+    {
+        m_store.writeOdd(kind, name, content);
+    }
     void signalStore(int number) const { m_store.signal(number); }
 
     /// \brief Adds or removes one route; route 0 is always present.
--- a/standins/platform/platform_service.cpp
+++ b/standins/platform/platform_service.cpp
@@ -114,6 +114,8 @@
             m_switches.silentWatch = value.as_bool();
         else if (name == "vmLag")
             m_switches.vmLag = value.to_number<std::uint64_t>();
+        else if (name == "oddText")
+            m_switches.oddText = value.as_string();
         else if (name == "pageObjects")
             m_switches.pageObjects = value.to_number<std::uint64_t>();
         else
@@ -123,6 +125,19 @@
         dropWatches();
 }
 
+HttpResponse PlatformService::withOddText(const boost::json::value &value) const
+{
+    HttpResponse out = jsonResponse(value);
+    if (m_switches.oddText.empty())
+        return out;
+    const std::string marker = '"' + std::string{OddMarker} + '"';
+    std::string &body = out.body();
+    for (std::size_t at = body.find(marker); at != std::string::npos;
+         at = body.find(marker, at + m_switches.oddText.size()))
+        body.replace(at, marker.size(), m_switches.oddText);
+    return out;
+}
+
 void PlatformService::dropWatches()
 {
     const auto dropped = std::exchange(m_watches, {});
@@ -219,7 +234,7 @@
     const bool more = objects.size() > m_switches.pageObjects;
     for (std::size_t index = 0; index < objects.size() - (more ? 1 : 0); ++index)
         items.push_back(objects[index].json());
-    reply(jsonResponse({{"items", items}, {"has_more", more}, {"at", m_store.revision()}}));
+    reply(withOddText({{"items", items}, {"has_more", more}, {"at", m_store.revision()}}));
 }
 
 void PlatformService::write(const HttpRequest &request, const Place &place, const UrlParts &url,
@@ -330,7 +345,7 @@
     boost::json::array events;
     for (const ObjectEvent &change : *changes)
         events.push_back({{"object", change.object.json()}, {"deleted", change.deleted}});
-    ended.reply(jsonResponse({{"events", events}, {"at", m_store.revision()}}));
+    ended.reply(withOddText({{"events", events}, {"at", m_store.revision()}}));
 }
 
 void PlatformService::answerWatches()
--- a/standins/platform/platform_service.h
+++ b/standins/platform/platform_service.h
@@ -26,8 +26,14 @@
     bool silentWatch = false; ///< Never answers watches, not even when their wait time is over.
     std::uint64_t vmLag = 0;  ///< Age of the served VM list, in milliseconds.
     std::uint64_t pageObjects = 500; ///< Maximum number of objects in a page of a list.
+    /// Text that stands for each OddMarker in lists and watches: what another writer has stored may
+    /// be JSON that this process can't hold.
+    std::string oddText{};
 };
 
+/// Content of an object that is answered as Switches::oddText.
+inline constexpr std::string_view OddMarker = "@odd";
+
 /// \brief HTTP API of the platform's object store and VM list, with a control API for tests.
 ///
 /// | call | effect |
@@ -61,6 +67,8 @@
 
     void control(const HttpRequest &request, const UrlParts &url, const HttpReply &reply);
     void setSwitches(const boost::json::object &values);
+    /// \return The response, with what other writers have stored.
+    [[nodiscard]] HttpResponse withOddText(const boost::json::value &value) const;
     void dropWatches();
     void serve(const HttpRequest &request, const UrlParts &url, const HttpReply &reply);
     void read(const Place &place, const UrlParts &url, const HttpReply &reply);
--- a/tests/adapter/registry_test.cpp
+++ b/tests/adapter/registry_test.cpp
@@ -183,6 +183,20 @@
             "%s", key.c_str());
 }
 
+// Guards against metrics and tables that no reader accepts, as a target's name or its failure
+// domain is no text.
+Test(registry, targetsWithoutPlainTextsAreRefused)
+{
+    for (const std::string name : {"i-1\xed\xa0\xbd", "i-1\xff", "i-1\n", "i 1"}) {
+        const auto result = readTarget({"targets/" + name, Target, ObjectVersion{1}});
+        cr_assert(std::holds_alternative<DirectoryFinding>(result), "%s", name.c_str());
+    }
+    std::string text = Target;
+    text.replace(text.find("alx-raml"), 8, "\xff\xc0");
+    cr_assert(std::holds_alternative<DirectoryFinding>(
+        readTarget({"targets/i-1", text, ObjectVersion{1}})));
+}
+
 // Guards against a configuration or a target that is refused, as a figure of it is a fraction.
 Test(registry, figuresMayBeFractions)
 {
--- a/tests/direct-system/direct_system_test.cpp
+++ b/tests/direct-system/direct_system_test.cpp
@@ -3,6 +3,7 @@
 
 #include "ctl/top.h"
 #include "support/direct_system.h"
+#include "support/odd_entries.h"
 
 using namespace baobabtrail;
 using namespace baobabtrail::test;
@@ -175,6 +176,33 @@
     system.expectNoViolations();
 }
 
+// Guards against daemons that hear of no change, and don't start, while another writer's entry that
+// no parser accepts is among the targets, the evacuations or the configurations.
+Test(directSystem, anOddEntryHidesNoDrainAndNoTarget, .timeout = 60)
+{
+    for (const std::string &content :
+         {std::string{R"({"version":"cut \ud83d"})"}, nested(600), std::string{"1e99999999999"}}) {
+        DirectSystem system;
+        World &world = system.world;
+        for (const std::string kind : {"servers", "evacuations", "config"})
+            world.writeOdd(kind, "i-0dd", content);
+        world.run(500ms);
+        world.drain(0, 1s);
+        world.run(1200ms);
+        for (int round = 0; round < 3; ++round)
+            cr_assert_eq(system.askAll(), 2 * Callers, "%s", content.substr(0, 40).c_str());
+        system.expectNoViolations();
+        for (std::size_t index = 0; index < Daemons; ++index) {
+            world.signal(index, SIGKILL);
+            world.startDaemon(index);
+        }
+        cr_assert(world.runUntil([&] { return world.inRotation() == Daemons; }, 8s));
+        cr_assert_eq(system.askAll(), 2 * Callers);
+        for (std::size_t index = 0; index < Daemons; ++index)
+            cr_assert(!world.hasEnded(index));
+    }
+}
+
 // Guards against daemons that can't start while the store is down: daemons are replaced one after
 // the other, and have to copy the directory from their peers.
 Test(directSystem, daemonsAreReplacedWhileTheStoreIsDown)
