--- a/src/core/direct/direct_node_targets.cpp
+++ b/src/core/direct/direct_node_targets.cpp
@@ -76,7 +76,7 @@
     const DirectTarget *owner = m_router.targets().find(target.id);
     const bool owns = owner && owner->entry.name == target.name;
     if (owns && !owner->goneAt && m_claims.losesService(target, owner->entry)) {
-        // Of another writer: the entry names no target to use, and its address leads elsewhere.
+        // Of another writer: with its address, open flows of the live target would go elsewhere.
         m_claims.put(std::move(target));
         refuseTarget(key, {key + ": service", "names a service that isn't declared"}, true);
     } else if (owns || hasLeft(owner)) {
--- a/src/daemon/settings/duration_text.cpp
+++ b/src/daemon/settings/duration_text.cpp
@@ -1,5 +1,7 @@
 #include "daemon/settings/duration_text.h"
 
+#include <boost/range/adaptor/reversed.hpp>
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -106,8 +108,8 @@
     // In decimal: binary fractions would round "1.1s" up to 1,100,001 us.
     std::int64_t part = 0;
     bool exact = true;
-    for (auto digit = number.fraction.rbegin(); digit != number.fraction.rend(); ++digit) {
-        const std::int64_t tenfold = (*digit - '0') * unit.count() + part;
+    for (const char digit : boost::adaptors::reverse(number.fraction)) {
+        const std::int64_t tenfold = (digit - '0') * unit.count() + part;
         exact = exact && tenfold % 10 == 0;
         part = tenfold / 10;
     }
--- a/standins/platform/platform_service.cpp
+++ b/standins/platform/platform_service.cpp
@@ -41,7 +41,7 @@
 } // namespace
 
 PlatformService::PlatformService(boost::asio::io_context &context, std::uint64_t seed,
-                                 Switches switches)
+                                 const Switches &switches)
     : m_context(context)
     , m_random(seed)
     , m_switches(switches)
--- a/standins/platform/platform_service.h
+++ b/standins/platform/platform_service.h
@@ -46,7 +46,7 @@
 class PlatformService
 {
 public:
-    PlatformService(boost::asio::io_context &context, std::uint64_t seed, Switches switches);
+    PlatformService(boost::asio::io_context &context, std::uint64_t seed, const Switches &switches);
 
     void handle(const HttpRequest &request, const HttpReply &reply);
 
