Let the way in which names are written decide who owns a contested target id

Change: before its length counts how many other registrations write their names in the same form, with any digits. It follows from the entries alone, as the rest of the order does. Looked up only while ids are contested.

--- a/src/core/direct/direct_node.h
+++ b/src/core/direct/direct_node.h
@@ -18,6 +18,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -313,6 +314,7 @@
     /// \brief Gives each contested id to the registration that ranks first; to be called after each
     /// change that may decide otherwise.
     void settleClaims();
+    [[nodiscard]] std::vector<std::string_view> undisputedNames() const;
     [[nodiscard]] bool takesOver(const RegisteredTarget &target, const DirectTarget *owner) const;
     void use(const RegisteredTarget &target, TimePoint now);
     /// \param waits The registration is readable and may be used later.
--- a/src/core/direct/direct_node_targets.cpp
+++ b/src/core/direct/direct_node_targets.cpp
@@ -89,6 +89,9 @@
 // Registrations hardly ever wait, so that all of them are looked at.
 void DirectNode::settleClaims()
 {
+    if (m_claims.size() == 0)
+        return;
+    m_claims.setUndisputed(undisputedNames());
     for (const TargetId id : m_claims.ids()) {
         const RegisteredTarget first = *m_claims.best(id);
         const DirectTarget *owner = m_router.targets().find(id);
@@ -106,6 +109,16 @@
     }
 }
 
+std::vector<std::string_view> DirectNode::undisputedNames() const
+{
+    std::vector<std::string_view> names;
+    for (const auto &[id, target] : m_router.targets().all()) {
+        if (!target.goneAt && !m_claims.best(id))
+            names.push_back(target.entry.name);
+    }
+    return names;
+}
+
 // A lapsed owner may be alive and may register again, so that it keeps its id.
 bool DirectNode::takesOver(const RegisteredTarget &target, const DirectTarget *owner) const
 {
--- a/src/core/direct/target_claims.h
+++ b/src/core/direct/target_claims.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace baobabtrail {
@@ -38,8 +39,12 @@
     /// \return The waiting registration that ranks first for the id, or null.
     [[nodiscard]] const RegisteredTarget *best(TargetId id) const;
 
+    /// \brief Tells how the names of the other registrations are written.
+    /// \param names Of the registrations in use whose ids nobody else names.
+    void setUndisputed(const std::vector<std::string_view> &names);
     /// \return Whether \a target owns the id that \a other names too: the one of a declared
-    /// service, else the one with the shorter name, else the alphabetically first one.
+    /// service, else the one whose name is written like more of the undisputed ones, else the one
+    /// with the shorter name, else the alphabetically first one.
     [[nodiscard]] bool outranks(const RegisteredTarget &target,
                                 const RegisteredTarget &other) const;
     /// \return Whether \a target names a service that isn't declared, in place of one that is.
@@ -47,9 +52,13 @@
                                     const RegisteredTarget &before) const;
 
 private:
+    /// \return The number of undisputed names that are written in the same form.
+    [[nodiscard]] std::size_t alike(std::string_view name) const;
+
     IsDeclared m_isDeclared;
     std::map<std::string, TargetId> m_ids;                                 ///< By name.
     std::map<TargetId, std::map<std::string, RegisteredTarget>> m_waiting; ///< By name; none empty.
+    std::map<std::string, std::size_t> m_forms; ///< Undisputed names by their form, and how many.
 };
 
 } // namespace baobabtrail
--- a/tests/directory/claims_test.cpp
+++ b/tests/directory/claims_test.cpp
@@ -98,6 +98,32 @@
     expectPlacedBy(cluster, "7", "registered again");
 }
 
+// Guards against a live target whose flows are sent elsewhere, as a complete entry of another
+// writer names its digits: only the way in which the names of targets are written tells which is
+// the target's.
+Test(claims, theNameThatIsWrittenLikeTheOthersOwnsItsId)
+{
+    for (const bool otherFirst : {false, true}) {
+        for (const std::string other : {"targets/7", "targets/07", "targets/7t", "targets/7-T"}) {
+            DirectCluster cluster{8, 3, 4};
+            for (const std::string key : {"targets/1-t", "targets/2-t", "targets/3-t"})
+                cluster.store.put(key, "x ready");
+            cluster.store.put(otherFirst ? other : "targets/7-t", "x ready");
+            cluster.time.run(5s);
+            cluster.store.put(otherFirst ? "targets/7-t" : other, "x ready");
+            cluster.time.run(3s);
+            expectPlacedBy(cluster, "7-t", other);
+            cluster.kill(5);
+            cluster.start(5);
+            cluster.time.run(3s);
+            expectPlacedBy(cluster, "7-t", other + ", after a restart");
+            cluster.store.erase(other);
+            cluster.time.run(3s);
+            expectPlacedBy(cluster, "7-t", other + " was removed");
+        }
+    }
+}
+
 // Guards against daemons that disagree about which registration owns an id, by the order in which
 // they learnt of them: changes one by one, several in one answer, or a whole copy after a start.
 Test(claims, daemonsDecideAlikeWhateverTheOrder)
